--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds from the stated goals."""
--- /dev/null
+++ b/wigeonhatch/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering for entry hosts without disks."""
--- /dev/null
+++ b/wigeonhatch/blocks/__init__.py
@@ -0,0 +1,1 @@
+"""Map from client blocks to sites."""
--- /dev/null
+++ b/wigeonhatch/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to targets."""
--- /dev/null
+++ b/wigeonhatch/clock.py
@@ -0,0 +1,71 @@
+"""Monotonic time in milliseconds."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+
+
+class Clock:
+    """Read the monotonic clock of this host.
+
+    The clock keeps running while the process is stopped, so that a process
+    that resumes can detect the gap.
+    """
+
+    @property
+    def now_ms(self) -> int:
+        """Monotonic time in ms; only differences are meaningful."""
+        return time.monotonic_ns() // 1_000_000
+
+    @property
+    def wall_ms(self) -> int:
+        """Time since the Unix epoch in ms, for logs and audit records."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Suspend the current task.
+
+        Args:
+            duration_ms: Time to sleep in ms.
+        """
+        await anyio.sleep(duration_ms / 1000)
+
+
+class ManualClock(Clock):
+    """Clock for tests that moves only when told to.
+
+    Args:
+        start_ms: Initial time in ms.
+    """
+
+    def __init__(self, start_ms: int = 1_000_000) -> None:
+        self._now_ms = start_ms
+
+    @property
+    def now_ms(self) -> int:
+        """Current manual time in ms."""
+        return self._now_ms
+
+    @property
+    def wall_ms(self) -> int:
+        """Current manual time in ms."""
+        return self._now_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock forward.
+
+        Args:
+            duration_ms: Step in ms, at least 0.
+        """
+        self._now_ms += duration_ms
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Move the clock forward and let other tasks run.
+
+        Args:
+            duration_ms: Time to sleep in ms.
+        """
+        self.advance(duration_ms)
+        await anyio.lowlevel.checkpoint()
--- /dev/null
+++ b/wigeonhatch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration: model, merge, checks and differences."""
--- /dev/null
+++ b/wigeonhatch/config/model.py
@@ -0,0 +1,173 @@
+"""Operators' configuration as checked, immutable data."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import pydantic
+from pydantic import dataclasses as checked
+
+from wigeonhatch import settings
+
+_STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
+LOOKUP_TTL_MS = 5_000
+Percent = typing.Annotated[float, pydantic.Field(ge=0, le=100)]
+CapPercent = typing.Annotated[float, pydantic.Field(gt=0, le=100)]
+
+
+def _percent_from_int(value: object) -> object:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return float(value)
+    return value
+
+
+Share = typing.Annotated[Percent, pydantic.BeforeValidator(_percent_from_int)]
+CapShare = typing.Annotated[
+    CapPercent, pydantic.BeforeValidator(_percent_from_int)
+]
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Region:
+    """One region and its failure domains."""
+
+    domains: list[str]
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Link:
+    """Size of the link between two regions, each way."""
+
+    mbit_per_s: settings.PositiveInt
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Host:
+    """One entry host."""
+
+    domain: str
+    caller_address: settings.Address
+    peer_address: settings.Address
+    operator_address: settings.Address
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Cap:
+    """Largest part of a service's buckets that may move in a window.
+
+    Args:
+        percent: Percent of the buckets, above 0.
+        interval_ms: Length of the window in ms, without the lookup TTL.
+    """
+
+    percent: CapShare
+    interval_ms: settings.PositiveInt
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Service:
+    """One service.
+
+    Args:
+        slots: Requests that one target runs at once.
+        connections: Connections that one target accepts.
+        share_by_region: Percent of the traffic for each region; sums to 100.
+        shift_cap: Cap for operators' changes of the shares.
+        failover_cap: Cap for spillover; the shift cap if absent.
+    """
+
+    slots: settings.PositiveInt
+    connections: settings.PositiveInt
+    share_by_region: dict[str, Share]
+    shift_cap: Cap
+    failover_cap: Cap | None = None
+
+    @property
+    def spillover_cap(self) -> Cap:
+        """Cap that applies to spillover."""
+        return self.failover_cap or self.shift_cap
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Target:
+    """One instance of a service."""
+
+    service: str
+    domain: str
+    address: settings.Address
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Customer:
+    """One customer.
+
+    Args:
+        reserved_percent_by_service: Percent of each service's slots in every
+            region that the customer has reserved.
+    """
+
+    reserved_percent_by_service: dict[str, Share] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Drain:
+    """A host or target that must receive no new requests."""
+
+    kind: typing.Literal['host', 'target']
+    since_ms: int = 0
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Tuning:
+    """Parameters of admission that operators may change."""
+
+    floor_percent: Share = 50.0
+    hold_back_percent: Share = 20.0
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class SteeringConfig:
+    """Complete configuration, merged from the operators' files.
+
+    Args:
+        link_by_pair: Links; the key is `REGION/REGION` in sorted order.
+        drain_by_name: Draining hosts and targets.
+    """
+
+    region_by_name: dict[str, Region]
+    host_by_name: dict[str, Host]
+    service_by_name: dict[str, Service]
+    target_by_name: dict[str, Target]
+    link_by_pair: dict[str, Link] = dataclasses.field(default_factory=dict)
+    customer_by_name: dict[str, Customer] = dataclasses.field(
+        default_factory=dict
+    )
+    drain_by_name: dict[str, Drain] = dataclasses.field(default_factory=dict)
+    tuning: Tuning = dataclasses.field(default_factory=Tuning)
+
+    def region_of(self, domain: str) -> str:
+        """Name the region of a failure domain.
+
+        Args:
+            domain: Name of the failure domain.
+
+        Raises:
+            KeyError: No region has the domain.
+        """
+        for name, region in self.region_by_name.items():
+            if domain in region.domains:
+                return name
+        raise KeyError(domain)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionedConfig:
+    """Configuration that is in force, with its version."""
+
+    version: int
+    change_id: str
+    config: SteeringConfig
+    document: dict[str, typing.Any]
--- /dev/null
+++ b/wigeonhatch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry host."""
--- /dev/null
+++ b/wigeonhatch/links/__init__.py
@@ -0,0 +1,1 @@
+"""Byte budgets between regions."""
--- /dev/null
+++ b/wigeonhatch/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of an entry host."""
--- /dev/null
+++ b/wigeonhatch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operator interface of an entry host."""
--- /dev/null
+++ b/wigeonhatch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between entry hosts."""
--- /dev/null
+++ b/wigeonhatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform: table, object store and host list."""
--- /dev/null
+++ b/wigeonhatch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Path of one request through an entry host."""
--- /dev/null
+++ b/wigeonhatch/settings.py
@@ -0,0 +1,170 @@
+"""Settings of one daemon: addresses, failure domain and limits."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import typing
+
+import pydantic
+from pydantic import dataclasses as checked
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+
+CREDENTIAL_VARIABLE = 'WIGEONHATCH_CREDENTIAL'
+_STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
+Port = typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
+PositiveInt = typing.Annotated[int, pydantic.Field(gt=0)]
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split an address into IP address and port.
+
+    Args:
+        text: `IP:PORT`, with an IPv6 address in brackets.
+
+    Returns:
+        IP address without brackets, and the port.
+
+    Raises:
+        ValueError: The text is no such address.
+    """
+    host, _, port = text.rpartition(':')
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f'{text!r} is not IP:PORT')
+    address = pydantic.TypeAdapter(pydantic.IPvAnyAddress).validate_python(
+        host.strip('[]')
+    )
+    return str(address), int(port)
+
+
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Limits:
+    """Limits at the edges of a daemon."""
+
+    max_header_bytes: PositiveInt = 32_768
+    max_body_bytes: PositiveInt = 2_000_000_000
+    max_connections: PositiveInt = 2_000
+    max_deadline_ms: PositiveInt = 60_000
+    default_deadline_ms: PositiveInt = 10_000
+    max_body_gap_ms: PositiveInt = 5_000
+    max_keys_per_lookup: PositiveInt = 64
+    stop_bound_ms: PositiveInt = 30_000
+
+
+@checked.dataclass(frozen=True, config=_STRICT)
+class Settings:
+    """Settings of one daemon.
+
+    Args:
+        host: Name of this host in the configuration.
+        domain: Failure domain of this host.
+        caller_address: `IP:PORT` of the callers' interface.
+        peer_address: `IP:PORT` of the peers' interface.
+        operator_address: `IP:PORT` of the operators' interface.
+        platform_url: Base URL of the platform.
+        seeds: Peer addresses to ask at start.
+        credential_file: File with the credential of operators and peers;
+            the environment variable WIGEONHATCH_CREDENTIAL if empty.
+        log_level: Level of the `logging` library.
+        limits: Limits at the edges.
+    """
+
+    host: str
+    domain: str
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    platform_url: str
+    seeds: list[Address] = dataclasses.field(default_factory=list)
+    credential_file: str = ''
+    log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    limits: Limits = dataclasses.field(default_factory=Limits)
+
+
+def describe_errors(
+    error: pydantic.ValidationError, source: str
+) -> typing.Iterator[str]:
+    """Describe each error of a validation.
+
+    Args:
+        error: Errors of the validation library.
+        source: Name of the file or document.
+
+    Yields:
+        One line for each error: path, what was expected, what was found.
+    """
+    for item in error.errors(include_url=False):
+        path = '.'.join(str(part) for part in item['loc']) or '(document)'
+        if item['type'] in ('unexpected_keyword_argument', 'extra_forbidden'):
+            expected = 'field does not exist'
+        else:
+            expected = item['msg']
+        found = repr(item['input'])
+        if item['type'] == 'missing':
+            found = 'nothing'
+        yield f'{source}: {path}: {expected}; found {found[:120]}'
+
+
+def load_settings(
+    path: str,
+) -> outcome.Success[Settings] | outcome.Failure:
+    """Read and check the settings file of a daemon.
+
+    Args:
+        path: JSON file.
+
+    Returns:
+        The settings, or `SETTINGS_INVALID` with one line for each error.
+    """
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        return outcome.Failure(
+            codes.ResultCode.SETTINGS_INVALID, f'{path}: {error.strerror}'
+        )
+    try:
+        settings = pydantic.TypeAdapter(Settings).validate_json(content)
+    except pydantic.ValidationError as error:
+        detail = '\n'.join(describe_errors(error, path))
+        return outcome.Failure(codes.ResultCode.SETTINGS_INVALID, detail)
+    return outcome.Success(settings)
+
+
+def read_credential(
+    settings: Settings,
+) -> outcome.Success[str] | outcome.Failure:
+    """Read the credential of operators and peers.
+
+    Args:
+        settings: Settings of the daemon.
+
+    Returns:
+        The credential, or `SETTINGS_INVALID` if there is none.
+    """
+    if settings.credential_file:
+        try:
+            text = pathlib.Path(settings.credential_file).read_text()
+        except OSError as error:
+            return outcome.Failure(
+                codes.ResultCode.SETTINGS_INVALID,
+                f'credential_file: {error.strerror}',
+            )
+    else:
+        text = os.environ.get(CREDENTIAL_VARIABLE, '')
+    if not text.strip():
+        return outcome.Failure(
+            codes.ResultCode.SETTINGS_INVALID,
+            f'no credential: set credential_file or {CREDENTIAL_VARIABLE}',
+        )
+    return outcome.Success(text.strip())
--- /dev/null
+++ b/wigeonhatch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small substitutes for outside systems, for tests and the demo."""
--- /dev/null
+++ b/wigeonhatch/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Splits, shift steps, spillover and lookup responses."""
--- /dev/null
+++ b/wigeonhatch/steering/ownership.py
@@ -0,0 +1,106 @@
+"""Owners and standbys, as pure functions of the configuration."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+import xxhash
+
+from wigeonhatch.config import model
+
+
+def rank(names: collections.abc.Iterable[str], subject: str) -> list[str]:
+    """Order names by rendezvous hashing.
+
+    Args:
+        names: Candidates.
+        subject: What the candidates are ranked for.
+
+    Returns:
+        The candidates, best first; the same on every host.
+    """
+
+    def weigh(name: str) -> tuple[int, str]:
+        text = f'{subject}\0{name}'
+        return xxhash.xxh3_64_intdigest(text.encode()), name
+
+    return sorted(names, key=weigh, reverse=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ownership:
+    """Owner of each target and standby of each host.
+
+    Args:
+        owner_by_target: Host that admits requests to the target; empty if
+            no host is configured.
+        standby_by_host: Host that may take over; absent for a single host.
+        targets_by_owner: Names of the targets that a host owns.
+    """
+
+    owner_by_target: dict[str, str]
+    standby_by_host: dict[str, str]
+    targets_by_owner: dict[str, list[str]]
+
+
+def assign_owners(config: model.SteeringConfig) -> Ownership:
+    """Assign an owner to each target and a standby to each host.
+
+    Args:
+        config: Configuration in force.
+
+    Returns:
+        The assignment; the same on every host with this configuration.
+    """
+    hosts_by_domain: dict[str, list[str]] = {}
+    for name, host in config.host_by_name.items():
+        hosts_by_domain.setdefault(host.domain, []).append(name)
+    region_by_domain = {
+        domain: name
+        for name, region in config.region_by_name.items()
+        for domain in region.domains
+    }
+    hosts_by_region: dict[str, list[str]] = {}
+    for domain, names in hosts_by_domain.items():
+        region = region_by_domain[domain]
+        hosts_by_region.setdefault(region, []).extend(names)
+    owner_by_target = _spread_targets(
+        config, hosts_by_domain, hosts_by_region, region_by_domain
+    )
+    standby_by_host: dict[str, str] = {}
+    for name, host in config.host_by_name.items():
+        region = region_by_domain[host.domain]
+        for pool in (
+            hosts_by_domain[host.domain],
+            hosts_by_region[region],
+            list(config.host_by_name),
+        ):
+            others = [other for other in pool if other != name]
+            if others:
+                standby_by_host[name] = rank(others, f'standby/{name}')[0]
+                break
+    targets_by_owner: dict[str, list[str]] = {
+        name: [] for name in config.host_by_name
+    }
+    for target, owner in owner_by_target.items():
+        targets_by_owner.setdefault(owner, []).append(target)
+    return Ownership(owner_by_target, standby_by_host, targets_by_owner)
+
+
+def _spread_targets(
+    config: model.SteeringConfig,
+    hosts_by_domain: dict[str, list[str]],
+    hosts_by_region: dict[str, list[str]],
+    region_by_domain: dict[str, str],
+) -> dict[str, str]:
+    owner_by_target: dict[str, str] = {}
+    for name, target in config.target_by_name.items():
+        pool = (
+            hosts_by_domain.get(target.domain)
+            or hosts_by_region.get(region_by_domain[target.domain])
+            or list(config.host_by_name)
+        )
+        if pool:
+            owner_by_target[name] = rank(pool, f'owner/{name}')[0]
+    return owner_by_target
--- /dev/null
+++ b/wigeonhatch/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients, health and drains of targets."""
