Serve requests from end to end with separate processes

Cause: nothing ran yet. Change: stand-ins for platform, target and caller, an HTTP client of the platform, a fleet starter, a demo, and a first daemon that answers lookups and sends requests straight to targets. The daemon here is a placeholder for the wiring of the packages; it admits without a shared count.

Ruled out: uvicorn's own signal handling.

--- a/wigeonhatch/clock.py
+++ b/wigeonhatch/clock.py
@@ -19,6 +19,11 @@
         """Monotonic time in ms; only differences are meaningful."""
         return time.monotonic_ns() // 1_000_000
 
+    @property
+    def now_ns(self) -> int:
+        """Monotonic time in ns, for measuring short durations."""
+        return time.monotonic_ns()
+
     @property
     def wall_ms(self) -> int:
         """Time since the Unix epoch in ms, for logs and audit records."""
--- /dev/null
+++ b/wigeonhatch/entry/http_server.py
@@ -0,0 +1,57 @@
+"""uvicorn server that leaves signals to the daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import typing
+
+import uvicorn
+
+from wigeonhatch import settings as settings_module
+
+_KEEP_ALIVE_S = 30
+
+
+class HttpServer(uvicorn.Server):
+    """Serve one interface of the daemon.
+
+    uvicorn's own signal handling ends the process by the same signal, which
+    would replace the exit status of a graceful stop.
+    """
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Generator[None, None, None]:
+        """Leave the signal handlers as they are."""
+        yield
+
+
+def build_server(
+    app: typing.Any, address: str, max_connections: int | None = None
+) -> HttpServer:
+    """Build a server for one interface.
+
+    Args:
+        app: ASGI application.
+        address: `IP:PORT` to listen on.
+        max_connections: Connection limit; None for none.
+
+    Returns:
+        A server; `serve()` runs it until `should_exit` is set.
+    """
+    host, port = settings_module.parse_address(address)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop='uvloop',
+        http='httptools',
+        log_config=None,
+        access_log=False,
+        lifespan='off',
+        server_header=False,
+        date_header=False,
+        limit_concurrency=max_connections,
+        timeout_keep_alive=_KEEP_ALIVE_S,
+    )
+    return HttpServer(config)
--- /dev/null
+++ b/wigeonhatch/standins/caller.py
@@ -0,0 +1,410 @@
+"""Stand-in for callers: a load tool that checks each response."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import sys
+import typing
+
+import anyio
+import fire  # type: ignore[import-untyped]
+from hdrh import histogram
+import httpcore
+import msgspec
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.standins import target as target_standin
+
+LOOKUP_PATH = '/.wigeonhatch/v1/lookup'
+_HIGHEST_US = 60_000_000
+_KEYS_PER_LOOKUP = 16
+_PART_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True)
+class LookupHost:
+    """One entry host of a lookup response."""
+
+    host: str
+    address: str
+    region: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Lookup:
+    """Response of a lookup."""
+
+    service: str
+    hosts: list[LookupHost]
+    ttl_ms: int
+    version: int = 0
+    keys: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """One kind of request in a load.
+
+    Args:
+        service: Name of the service.
+        weight: Part of the load.
+        method: HTTP method.
+        request_bytes: Length of the request body.
+        response_bytes: Length of the response body.
+        non_idempotent: Whether the request is marked non-idempotent.
+        customer: Name of the customer.
+    """
+
+    service: str
+    weight: float = 1.0
+    method: str = 'GET'
+    request_bytes: int = 0
+    response_bytes: int = 512
+    non_idempotent: bool = False
+    customer: str = ''
+
+
+@dataclasses.dataclass
+class Report:
+    """What a load run saw."""
+
+    sent: int = 0
+    served: int = 0
+    wrong: int = 0
+    doubled: int = 0
+    failed_lookups: int = 0
+    count_by_code: dict[str, int] = dataclasses.field(default_factory=dict)
+    count_by_target: dict[str, int] = dataclasses.field(default_factory=dict)
+    median_ms: float = 0.0
+    p99_ms: float = 0.0
+    p999_ms: float = 0.0
+    keys_served: list[str] = dataclasses.field(default_factory=list)
+
+
+class _Connections:
+    """Idle connections to entry hosts by address."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[
+            str, list[httpcore.AsyncHTTPConnection]
+        ] = {}
+
+    def take(self, address: str) -> httpcore.AsyncHTTPConnection:
+        idle = self._idle_by_address.setdefault(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_available() and not connection.has_expired():
+                return connection
+        host, _, port = address.rpartition(':')
+        origin = httpcore.Origin(b'http', host.encode(), int(port))
+        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=20)
+
+    async def put(
+        self, address: str, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        if connection.is_idle():
+            self._idle_by_address[address].append(connection)
+        else:
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
+
+
+@dataclasses.dataclass
+class _CachedLookup:
+    lookup: Lookup
+    until_ms: int
+    keys: list[str]
+
+
+class Caller:
+    """Send requests as a caller does: look up, cache, try the next host.
+
+    Args:
+        addresses: Callers' addresses of some entry hosts.
+        seed: Seed of the random choices.
+        one_way_ms: Delay added before sending and after receiving.
+    """
+
+    def __init__(
+        self, addresses: list[str], seed: int = 1, one_way_ms: float = 0.0
+    ) -> None:
+        self.report = Report()
+        self._addresses = addresses
+        self._random = random.Random(seed)
+        self._one_way_ms = one_way_ms
+        self._clock = clocks.Clock()
+        self._connections = _Connections()
+        self._cached_by_service: dict[tuple[str, str], _CachedLookup] = {}
+        self._latency_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
+        self._codes: collections.Counter[str] = collections.Counter()
+        self._targets: collections.Counter[str] = collections.Counter()
+
+    async def look_up(self, service: str, client: str) -> _CachedLookup | None:
+        """Ask entry hosts in turn which hosts to use.
+
+        Args:
+            service: Name of the service.
+            client: Address of the client.
+
+        Returns:
+            The response, from the cache while its TTL lasts; None if no host
+            answered.
+        """
+        cached = self._cached_by_service.get((service, client))
+        if cached and cached.until_ms > self._clock.now_ms and cached.keys:
+            return cached
+        path = (
+            f'{LOOKUP_PATH}?service={service}&client={client}'
+            f'&keys={_KEYS_PER_LOOKUP}'
+        )
+        addresses = list(self._addresses)
+        self._random.shuffle(addresses)
+        for address in addresses:
+            connection = self._connections.take(address)
+            try:
+                with anyio.fail_after(2):
+                    response = await connection.request(
+                        'GET', f'http://{address}{path}'
+                    )
+                await self._connections.put(address, connection)
+            except (OSError, TimeoutError, *_HTTP_ERRORS):
+                continue
+            if response.status != 200:
+                continue
+            lookup = msgspec.json.decode(response.content, type=Lookup)
+            if not lookup.hosts:
+                continue
+            cached = _CachedLookup(
+                lookup,
+                self._clock.now_ms + lookup.ttl_ms,
+                list(lookup.keys) or [''],
+            )
+            self._cached_by_service[(service, client)] = cached
+            return cached
+        self.report.failed_lookups += 1
+        return None
+
+    async def send(
+        self,
+        plan: Plan,
+        client: str,
+        deadline_ms: int = 5_000,
+    ) -> str:
+        """Send one request and check its response.
+
+        Args:
+            plan: Kind of the request.
+            client: Address of the client.
+            deadline_ms: Deadline passed on, in ms.
+
+        Returns:
+            Name of the result code.
+        """
+        self.report.sent += 1
+        cached = await self.look_up(plan.service, client)
+        if cached is None:
+            self._codes['LOOKUP_FAILED'] += 1
+            return 'LOOKUP_FAILED'
+        key = ''
+        if plan.non_idempotent:
+            key = cached.keys.pop()
+        request_id = f'{self._random.getrandbits(64):016x}'
+        started_ns = self._clock.now_ns
+        code = 'HOST_UNREACHABLE'
+        hosts = cached.lookup.hosts
+        if key:
+            # A key is tried at its issuer first.
+            issuer = key.partition('.')[0]
+            hosts = sorted(hosts, key=lambda item: item.host != issuer)
+        for host in hosts[:3]:
+            code = await self._attempt(
+                plan, host, client, request_id, key, deadline_ms
+            )
+            if code != 'CONNECT_FAILED':
+                break
+            self._cached_by_service.pop((plan.service, client), None)
+        self._codes[code] += 1
+        if code == 'OK':
+            self.report.served += 1
+            elapsed_us = (self._clock.now_ns - started_ns) // 1_000
+            self._latency_us.record_value(max(1, elapsed_us))
+            if key:
+                self.report.keys_served.append(key)
+        return code
+
+    def finish(self) -> Report:
+        """Complete the report with counts and percentiles."""
+        self.report.count_by_code = dict(self._codes)
+        self.report.count_by_target = dict(self._targets)
+        for name, percentile in (
+            ('median_ms', 50.0),
+            ('p99_ms', 99.0),
+            ('p999_ms', 99.9),
+        ):
+            value = self._latency_us.get_value_at_percentile(percentile)
+            setattr(self.report, name, value / 1_000)
+        return self.report
+
+    async def _attempt(
+        self,
+        plan: Plan,
+        host: LookupHost,
+        client: str,
+        request_id: str,
+        key: str,
+        deadline_ms: int,
+    ) -> str:
+        headers = _headers(plan, client, request_id, key, deadline_ms)
+        headers.append((b'Host', host.address.encode()))
+        connection = self._connections.take(host.address)
+        await anyio.sleep(self._one_way_ms / 1_000)
+        request = httpcore.Request(
+            plan.method,
+            f'http://{host.address}/{plan.service}/items',
+            headers=headers,
+            content=_parts(plan.request_bytes),
+        )
+        try:
+            with anyio.fail_after(deadline_ms / 1_000 + 2):
+                response = await connection.handle_async_request(request)
+                content = await response.aread()
+                await response.aclose()
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return 'CONNECT_FAILED'
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            await connection.aclose()
+            return type(error).__name__
+        await self._connections.put(host.address, connection)
+        await anyio.sleep(self._one_way_ms / 1_000)
+        return self._check(plan, request_id, response, content)
+
+    def _check(
+        self,
+        plan: Plan,
+        request_id: str,
+        response: httpcore.Response,
+        content: bytes,
+    ) -> str:
+        if response.status != 200:
+            try:
+                return str(msgspec.json.decode(content)['name'])
+            except (msgspec.DecodeError, KeyError, TypeError):
+                return f'HTTP_{response.status}'
+        expected = target_standin.expected_body(
+            request_id, plan.response_bytes
+        )
+        if content != expected:
+            self.report.wrong += 1
+            return 'WRONG_RESPONSE'
+        fields = {name.lower(): value for name, value in response.headers}
+        self._targets[fields.get(b'x-target', b'?').decode()] += 1
+        return 'OK'
+
+
+_HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+)
+
+
+def _headers(
+    plan: Plan, client: str, request_id: str, key: str, deadline_ms: int
+) -> list[tuple[bytes, bytes]]:
+    fields = [
+        ('Wigeonhatch-Request-Id', request_id),
+        ('Wigeonhatch-Client', client),
+        ('Wigeonhatch-Deadline-Ms', str(deadline_ms)),
+        ('X-Response-Bytes', str(plan.response_bytes)),
+    ]
+    if plan.customer:
+        fields.append(('Wigeonhatch-Customer', plan.customer))
+    if plan.non_idempotent:
+        fields.append(('Wigeonhatch-Non-Idempotent', '1'))
+        fields.append(('Idempotency-Key', key))
+    if plan.request_bytes or plan.method != 'GET':
+        fields.append(('Content-Length', str(plan.request_bytes)))
+    return [(name.encode(), value.encode()) for name, value in fields]
+
+
+async def _parts(size: int) -> typing.AsyncIterator[bytes]:
+    for start in range(0, size, _PART_BYTES):
+        yield b'u' * min(_PART_BYTES, size - start)
+
+
+async def run_load(
+    caller: Caller,
+    plans: list[Plan],
+    rate_per_s: float,
+    seconds: float,
+    seed: int = 1,
+    clients: int = 200,
+) -> Report:
+    """Send an open-loop load of Poisson arrivals.
+
+    Args:
+        caller: Sends the requests.
+        plans: Kinds of requests with their weights.
+        rate_per_s: Mean arrivals each second.
+        seconds: Duration of the arrivals in s.
+        seed: Seed of arrivals, kinds and clients.
+        clients: Number of distinct client blocks.
+
+    Returns:
+        The completed report.
+    """
+    chooser = random.Random(seed)
+    weights = [plan.weight for plan in plans]
+    clock = clocks.Clock()
+    start_ms = clock.now_ms
+    due_ms = 0.0
+    async with anyio.create_task_group() as tasks:
+        while True:
+            due_ms += chooser.expovariate(rate_per_s) * 1_000
+            if due_ms > seconds * 1_000:
+                break
+            early_ms = start_ms + due_ms - clock.now_ms
+            if early_ms > 0:
+                await anyio.sleep(early_ms / 1_000)
+            plan = chooser.choices(plans, weights)[0]
+            number = chooser.randrange(clients)
+            client = f'10.{number // 256}.{number % 256}.7'
+            tasks.start_soon(caller.send, plan, client)
+    return caller.finish()
+
+
+def run(
+    addresses: str,
+    plans: str,
+    rate: float = 100.0,
+    seconds: float = 10.0,
+    seed: int = 1,
+) -> None:
+    """Run a load and print its report as JSON.
+
+    Args:
+        addresses: Callers' addresses of entry hosts, separated by commas.
+        plans: JSON list of plans.
+        rate: Mean arrivals each second.
+        seconds: Duration in s.
+        seed: Seed of all random choices.
+    """
+    if not isinstance(addresses, str):
+        addresses = ','.join(addresses)
+    if not isinstance(plans, str):
+        plans = msgspec.json.encode(plans).decode()
+    chosen = msgspec.json.decode(plans, type=list[Plan])
+    caller = Caller(addresses.split(','), seed)
+
+    async def main() -> Report:
+        return await run_load(caller, chosen, rate, seconds, seed)
+
+    report = anyio.run(main, backend_options={'use_uvloop': True})
+    sys.stdout.write(msgspec.json.encode(report).decode() + '\n')
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
