--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SECONDS_ ?= 60
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SOURCES := $(shell find wigeonhatch -name '*.py')
 
 .PHONY: install demo test lint types format bench binary generate soak clean
 
@@ -33,7 +34,7 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
-test: lint types
+test: lint types binary
 	$(BIN)/python -m pytest
 
 bench: install
@@ -42,9 +43,21 @@
 soak: install
 	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS_) $(BIN)/python -m tests.soak
 
-binary: install
-	$(BIN)/python -m shiv -q -c wigeonhatch -o dist/wigeonhatch \
-		--compressed .
+binary: dist/wigeonhatch
+
+# The zip application unpacks once below SHIV_ROOT, which has to be a file
+# system in memory on hosts without disks.
+dist/wigeonhatch: $(STAMP) requirements.txt $(SOURCES)
+	rm -rf build/site
+	mkdir -p build dist
+	test -d build/libraries || $(BIN)/python -m pip install -q \
+		--disable-pip-version-check --target build/libraries \
+		-r requirements.txt
+	cp -r build/libraries build/site
+	cp -r wigeonhatch build/site/
+	$(BIN)/shiv -e wigeonhatch.cli:main -o dist/wigeonhatch \
+		--site-packages build/site --root /tmp/wigeonhatch \
+		-p '/usr/bin/env python3'
 
 generate: install
 	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc \
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,41 @@
+"""Run all measurements in turn and print which goals were missed."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+
+MODULES = (
+    'benchmarks.request_cost',
+    'benchmarks.block_map',
+    'benchmarks.spread',
+    'benchmarks.reservation',
+    'benchmarks.upload',
+    'benchmarks.measures',
+)
+
+
+def main() -> int:
+    """Run each module in a process of its own.
+
+    Returns:
+        0 if all goals were met, else 1.
+    """
+    status_by_module: dict[str, int] = {}
+    for module in MODULES:
+        started = time.monotonic()
+        print(f'== {module}', flush=True)
+        status = subprocess.run(
+            [sys.executable, '-m', module], check=False
+        ).returncode
+        elapsed_s = time.monotonic() - started
+        print(f'== {module}: status {status}, {elapsed_s:.0f} s', flush=True)
+        status_by_module[module] = status
+    missed = [name for name, status in status_by_module.items() if status]
+    print('goals missed in: ' + (', '.join(missed) or 'none'))
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/end_to_end/_fleets.py
@@ -0,0 +1,189 @@
+"""A small deployment of separate processes on loopback."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import contextlib
+import time
+import typing
+
+import anyio
+
+from wigeonhatch.standins import caller as caller_module
+from wigeonhatch.standins import fleet as fleet_module
+
+SERVICES = ('reads', 'bookings')
+READS = caller_module.Plan('reads', 0.6)
+BOOKINGS = caller_module.Plan(
+    'bookings', 0.4, 'POST', request_bytes=200, non_idempotent=True
+)
+REGIONS = ('east', 'west', 'south')
+SLOTS = 4
+_PORTS_PER_FLEET = 100
+
+
+def small_document(base_port: int) -> dict[str, typing.Any]:
+    """Build a configuration: 3 regions, 6 domains, 7 hosts, 24 targets."""
+    domains = [f'{region}-{n}' for region in REGIONS for n in (1, 2)]
+
+    def address(offset: int) -> str:
+        return f'127.0.0.1:{base_port + offset}'
+
+    hosts = {
+        f'entry-{number + 1}': {
+            'domain': domains[number % len(domains)],
+            'caller_address': address(1 + number),
+            'peer_address': address(11 + number),
+            'operator_address': address(21 + number),
+        }
+        for number in range(7)
+    }
+    cap = {'percent': 20, 'interval_ms': 1_000}
+    shares = {'east': 34, 'west': 33, 'south': 33}
+    services = {
+        name: {
+            'slots': SLOTS,
+            'connections': 200,
+            'share_by_region': shares,
+            'shift_cap': cap,
+        }
+        for name in SERVICES
+    }
+    targets = {
+        f'{service}-{number}': {
+            'service': service,
+            'domain': domains[number % len(domains)],
+            'address': address(31 + 12 * index + number),
+        }
+        for index, service in enumerate(SERVICES)
+        for number in range(12)
+    }
+    pairs = [('east', 'west'), ('east', 'south'), ('south', 'west')]
+    return {
+        'region_by_name': {
+            region: {'domains': [f'{region}-1', f'{region}-2']}
+            for region in REGIONS
+        },
+        'link_by_pair': {
+            '/'.join(sorted(pair)): {'mbit_per_s': 300} for pair in pairs
+        },
+        'host_by_name': hosts,
+        'service_by_name': services,
+        'target_by_name': targets,
+    }
+
+
+@contextlib.contextmanager
+def run_fleet(
+    number: int,
+) -> collections.abc.Generator[fleet_module.Fleet, None, None]:
+    """Start the small deployment and apply its configuration.
+
+    Args:
+        number: Distinguishes the ports of fleets.
+    """
+    base_port = 20_000 + number * _PORTS_PER_FLEET
+    fleet = fleet_module.Fleet(
+        small_document(base_port),
+        {'reads': 15.0, 'bookings': 15.0},
+        f'127.0.0.1:{base_port}',
+    )
+    try:
+        fleet.start_platform()
+        fleet.start_targets()
+        fleet.start_hosts()
+        fleet.apply()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def load(
+    fleet: fleet_module.Fleet,
+    seconds: float,
+    rate: float = 150.0,
+    seed: int = 1,
+    plans: tuple[caller_module.Plan, ...] = (READS, BOOKINGS),
+    during: collections.abc.Callable[[], None] | None = None,
+    during_after_s: float = 1.0,
+) -> caller_module.Report:
+    """Send a load and cause a failure while it runs.
+
+    Args:
+        fleet: Deployment under test.
+        seconds: Duration of the load in s.
+        rate: Mean requests each second.
+        seed: Seed of the load.
+        plans: Kinds of requests.
+        during: Called in a thread after `during_after_s`.
+        during_after_s: Time before the call in s.
+    """
+    caller = caller_module.Caller(fleet.caller_addresses, seed)
+
+    async def main() -> caller_module.Report:
+        async with anyio.create_task_group() as tasks:
+            if during is not None:
+                tasks.start_soon(_call_later, during, during_after_s)
+            return await caller_module.run_load(
+                caller, list(plans), rate, seconds, seed
+            )
+
+    return anyio.run(main, backend_options={'use_uvloop': True})
+
+
+async def _call_later(
+    function: collections.abc.Callable[[], None], delay_s: float
+) -> None:
+    await anyio.sleep(delay_s)
+    await anyio.to_thread.run_sync(function)
+
+
+def target_stats(
+    fleet: fleet_module.Fleet,
+) -> dict[str, dict[str, typing.Any]]:
+    """Read the counts of all targets that answer."""
+    stats_by_name = {}
+    for name, target in fleet.document['target_by_name'].items():
+        with contextlib.suppress(Exception):
+            stats_by_name[name] = fleet_module.call(
+                'GET', target['address'], '/.standin/stats'
+            )
+    return stats_by_name
+
+
+def check_targets(fleet: fleet_module.Fleet) -> None:
+    """Assert that no key ran twice and no target was sent too much."""
+    runs: collections.Counter[str] = collections.Counter()
+    for name, stats in target_stats(fleet).items():
+        runs.update(stats['runs_by_key'])
+        assert stats['refused_full'] == 0, name
+        assert stats['max_in_use'] <= SLOTS, name
+    doubled = [key for key, count in runs.items() if count > 1]
+    assert not doubled
+
+
+def check_report(
+    fleet: fleet_module.Fleet, report: caller_module.Report
+) -> None:
+    """Assert that each response was the right one and really ran."""
+    assert report.wrong == 0
+    assert report.served > 0
+    ran = {
+        key
+        for stats in target_stats(fleet).values()
+        for key in stats['runs_by_key']
+    }
+    assert not [key for key in report.keys_served if key not in ran]
+
+
+def wait_until(
+    condition: collections.abc.Callable[[], bool], limit_s: float = 20.0
+) -> bool:
+    """Poll a condition; the limit only ends a hanging test."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if condition():
+            return True
+        time.sleep(0.1)
+    return condition()
--- a/wigeonhatch/standins/caller.py
+++ b/wigeonhatch/standins/caller.py
@@ -81,6 +81,8 @@
     p99_ms: float = 0.0
     p999_ms: float = 0.0
     keys_served: list[str] = dataclasses.field(default_factory=list)
+    served_by_second: dict[int, int] = dataclasses.field(default_factory=dict)
+    failed_by_second: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
 class _Connections:
@@ -135,6 +137,7 @@
         self._random = random.Random(seed)
         self._one_way_ms = one_way_ms
         self._clock = clocks.Clock()
+        self._started_ms = self._clock.now_ms
         self._connections = _Connections()
         self._cached_by_service: dict[tuple[str, str], _CachedLookup] = {}
         self._latency_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
@@ -226,6 +229,7 @@
                 break
             self._cached_by_service.pop((plan.service, client), None)
         self._codes[code] += 1
+        self._count_second(code)
         if code == 'OK':
             self.report.served += 1
             elapsed_us = (self._clock.now_ns - started_ns) // 1_000
@@ -234,6 +238,14 @@
                 self.report.keys_served.append(key)
         return code
 
+    def _count_second(self, code: str) -> None:
+        second = (self._clock.now_ms - self._started_ms) // 1_000
+        report = self.report
+        counts = report.failed_by_second
+        if code == 'OK':
+            counts = report.served_by_second
+        counts[second] = counts.get(second, 0) + 1
+
     def finish(self) -> Report:
         """Complete the report with counts and percentiles."""
         self.report.count_by_code = dict(self._codes)
@@ -376,6 +388,46 @@
     return caller.finish()
 
 
+async def run_closed_loop(
+    caller: Caller,
+    plan: Plan,
+    workers: int,
+    seconds: float,
+    seed: int = 1,
+    clients: int = 200,
+    pause_ms: float = 20.0,
+) -> Report:
+    """Keep a fixed number of requests in progress.
+
+    Args:
+        caller: Sends the requests.
+        plan: Kind of the requests.
+        workers: Requests in progress at once.
+        seconds: Duration in s.
+        seed: Seed of the choice of clients.
+        clients: Number of distinct client blocks.
+        pause_ms: Pause of a worker after a refusal, in ms.
+
+    Returns:
+        The completed report.
+    """
+    clock = clocks.Clock()
+    end_ms = clock.now_ms + seconds * 1_000
+
+    async def work(number: int) -> None:
+        chooser = random.Random(seed * 10_000 + number)
+        while clock.now_ms < end_ms:
+            client_number = chooser.randrange(clients)
+            client = f'10.{client_number // 256}.{client_number % 256}.7'
+            if await caller.send(plan, client) != 'OK':
+                await anyio.sleep(pause_ms / 1_000)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(workers):
+            tasks.start_soon(work, number)
+    return caller.finish()
+
+
 def run(
     addresses: str,
     plans: str,
--- a/wigeonhatch/standins/fleet.py
+++ b/wigeonhatch/standins/fleet.py
@@ -18,8 +18,8 @@
 
 from wigeonhatch import settings as settings_module
 
-_ROOT = pathlib.Path(__file__).parents[2]
-EXAMPLES = _ROOT / 'examples'
+ROOT = pathlib.Path(__file__).parents[2]
+EXAMPLES = ROOT / 'examples'
 CREDENTIAL = 'loopback-credential'
 PLATFORM_ADDRESS = '127.0.0.1:7000'
 _START_LIMIT_S = 60
@@ -150,6 +150,22 @@
         path.write_text(json.dumps(settings))
         self._spawn(name, 'wigeonhatch', 'entry', str(path))
 
+    def start_baseline(self) -> None:
+        """Start the plain proxy at each entry host's callers' address."""
+        path = self.folder / 'merged.json'
+        path.write_text(json.dumps(self.document))
+        hosts = self.document['host_by_name']
+        for number, (name, host) in enumerate(hosts.items()):
+            self._spawn(
+                name,
+                'wigeonhatch.standins.baseline',
+                f'--config={path}',
+                f'--address={host["caller_address"]}',
+                f'--offset={number * 3}',
+            )
+        for address in self.caller_addresses:
+            self._wait_for(address)
+
     def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run an operator's command against the hosts of the fleet.
 
@@ -167,7 +183,7 @@
                 *arguments,
                 '--hosts=' + ','.join(self.operator_addresses),
             ],
-            cwd=_ROOT,
+            cwd=ROOT,
             env=_environment(),
             capture_output=True,
             text=True,
@@ -175,6 +191,19 @@
             check=False,
         )
 
+    def apply(self) -> None:
+        """Write the configuration to a folder and apply it.
+
+        Raises:
+            RuntimeError: The command failed.
+        """
+        folder = self.folder / 'configuration'
+        folder.mkdir(exist_ok=True)
+        (folder / '10-all.json').write_text(json.dumps(self.document))
+        result = self.command('apply', str(folder))
+        if result.returncode != 0:
+            raise RuntimeError(result.stdout + result.stderr)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.process_by_name[name].handle.send_signal(number)
@@ -230,7 +259,7 @@
         with log.open('ab') as stream:
             handle = subprocess.Popen(
                 [sys.executable, '-m', module, *arguments],
-                cwd=_ROOT,
+                cwd=ROOT,
                 env=_environment(),
                 stdout=stream,
                 stderr=stream,
@@ -271,5 +300,5 @@
     return {
         **os.environ,
         settings_module.CREDENTIAL_VARIABLE: CREDENTIAL,
-        'PYTHONPATH': str(_ROOT),
+        'PYTHONPATH': str(ROOT),
     }
--- a/wigeonhatch/standins/target.py
+++ b/wigeonhatch/standins/target.py
@@ -10,6 +10,7 @@
 import fire  # type: ignore[import-untyped]
 import msgspec
 
+from wigeonhatch import clock as clocks
 from wigeonhatch.standins import _asgi
 
 _PART_BYTES = 65_536
@@ -83,6 +84,7 @@
         self.service_ms = service_ms
         self.faults = Faults()
         self.stats = Stats()
+        self._clock = clocks.Clock()
 
     async def __call__(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
@@ -127,6 +129,7 @@
             )
             return
         self.stats.in_use += 1
+        self.stats.last_request_ms = self._clock.now_ms
         self.stats.max_in_use = max(self.stats.max_in_use, self.stats.in_use)
         try:
             async with anyio.create_task_group() as tasks:
