--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -128,9 +128,8 @@
         async with anyio.create_task_group() as tasks:
             if during is not None:
                 tasks.start_soon(act)
-            return await caller_module.run_load(
-                caller, plans, rate, seconds, seed
-            )
+            await caller_module.run_load(caller, plans, rate, seconds, seed)
+        return caller.finish()
 
     return typing.cast(caller_module.Report, _run(main))
 
--- a/tests/end_to_end/_fleets.py
+++ b/tests/end_to_end/_fleets.py
@@ -125,9 +125,10 @@
         async with anyio.create_task_group() as tasks:
             if during is not None:
                 tasks.start_soon(_call_later, during, during_after_s)
-            return await caller_module.run_load(
+            await caller_module.run_load(
                 caller, list(plans), rate, seconds, seed
             )
+        return caller.finish()
 
     return anyio.run(main, backend_options={'use_uvloop': True})
 
