--- /dev/null
+++ b/tests/steering/examples.py
@@ -0,0 +1,115 @@
+"""Configurations and fakes for the tests of steering."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from wigeonhatch.config import model
+from wigeonhatch.platform import interface
+from wigeonhatch.standins import memory_platform
+from wigeonhatch.steering import step_writer
+
+REGIONS = ('central', 'north', 'south')
+
+
+def build_config(
+    version: int = 1,
+    shares: dict[str, float] | None = None,
+    cap: model.Cap | None = None,
+    failover_cap: model.Cap | None = None,
+) -> model.VersionedConfig:
+    """Build two hosts and two targets for each of three regions."""
+    domains = [f'{region}-{at}' for region in REGIONS for at in (1, 2)]
+    service = model.Service(
+        slots=5,
+        connections=50,
+        share_by_region=shares
+        or {'central': 30.0, 'north': 40.0, 'south': 30.0},
+        shift_cap=cap or model.Cap(percent=5.0, interval_ms=10_000),
+        failover_cap=failover_cap,
+    )
+    config = model.SteeringConfig(
+        region_by_name={
+            region: model.Region(domains=[f'{region}-1', f'{region}-2'])
+            for region in REGIONS
+        },
+        host_by_name={
+            f'host-{domain}': model.Host(
+                domain, *(f'127.0.0.{at}:{port}' for port in (1, 2, 3))
+            )
+            for at, domain in enumerate(domains, 1)
+        },
+        service_by_name={'ledger': service},
+        target_by_name={
+            f'ledger-{domain}': model.Target(
+                'ledger', domain, f'127.0.0.1:{100 + at}'
+            )
+            for at, domain in enumerate(domains)
+        },
+    )
+    return model.VersionedConfig(version, f'change-{version}', config, {})
+
+
+async def apply_config(
+    platform: memory_platform.MemoryPlatform,
+    versioned: model.VersionedConfig,
+) -> None:
+    """Commit the head row of a configuration."""
+    head = {'version': versioned.version, 'change_id': versioned.change_id}
+    result = await platform.commit(
+        [], [interface.Write(step_writer.HEAD_KEY, msgspec.json.encode(head))]
+    )
+    assert isinstance(result, interface.Committed)
+
+
+@dataclasses.dataclass
+class Load:
+    """Load of a service at a host."""
+
+    free: int
+    capacity: int = 5
+
+
+@dataclasses.dataclass
+class Record:
+    """Record of a host."""
+
+    incarnation: int = 1
+    sequence: int = 1
+
+
+class FakeMembership:
+    """Membership whose state tests set directly."""
+
+    def __init__(self, config: model.SteeringConfig) -> None:
+        self.load_by_host = {name: Load(5) for name in config.host_by_name}
+        self.record_by_host = {name: Record() for name in config.host_by_name}
+        self.unreachable: set[str] = set()
+        self.actor_by_host: dict[str, str] = {}
+        self.drained: frozenset[str] = frozenset()
+
+    def record(self, host: str) -> Record | None:
+        """Return the record of a host."""
+        return self.record_by_host.get(host)
+
+    def is_reachable(self, host: str) -> bool:
+        """Report whether a test declared the host unreachable."""
+        return host not in self.unreachable
+
+    def is_serving(self, host: str) -> bool:
+        """Report that every host serves."""
+        return True
+
+    def actor_for(self, host: str) -> str | None:
+        """Name the host that acts for a host."""
+        return self.actor_by_host.get(host)
+
+    def load(self, host: str, service: str) -> Load | None:
+        """Return the load of a host."""
+        return self.load_by_host.get(host)
+
+    def draining(self) -> frozenset[str]:
+        """Return what a test declared draining."""
+        return self.drained
--- /dev/null
+++ b/wigeonhatch/steering/spillover.py
@@ -0,0 +1,154 @@
+"""Buckets that this host serves outside their assigned region."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.config import model
+from wigeonhatch.steering import limiter
+
+# A region must have had free slots for this long before buckets return;
+# one lookup TTL covers callers that still follow older responses.
+_RETURN_AFTER_MS = model.LOOKUP_TTL_MS
+
+
+class Spillover:
+    """Track spillover and limit how many buckets enter or leave it.
+
+    A bucket enters at once when its region cannot serve a request, and
+    leaves only after its region had room without interruption for 5 s, so
+    that a brief lack of slots does not move it back and forth.
+
+    Args:
+        clock: Clock of this host.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.generation = 0
+        self._clock = clock
+        self._limit_by_service: dict[str, limiter.ShiftLimiter] = {}
+        self._region_by_bucket: dict[str, dict[int, str]] = {}
+        self._roomy_since_ms: dict[tuple[str, str], int] = {}
+
+    @property
+    def violations(self) -> int:
+        """Number of violated invariants since the start."""
+        return sum(item.violations for item in self._limit_by_service.values())
+
+    @property
+    def count_by_service(self) -> dict[str, int]:
+        """Buckets in spillover, for metrics."""
+        return {
+            name: len(buckets)
+            for name, buckets in self._region_by_bucket.items()
+        }
+
+    def configure(self, versioned: model.VersionedConfig) -> None:
+        """Take over the services and caps of a configuration.
+
+        Args:
+            versioned: Configuration in force.
+        """
+        for name, service in versioned.config.service_by_name.items():
+            known = self._limit_by_service.get(name)
+            if known is None:
+                self._limit_by_service[name] = limiter.ShiftLimiter(
+                    self._clock, service.spillover_cap
+                )
+                self._region_by_bucket[name] = {}
+            else:
+                known.configure(service.spillover_cap)
+
+    def region(self, service: str, bucket: int) -> str | None:
+        """Name the region that serves a bucket instead of its own.
+
+        Args:
+            service: Name of the service.
+            bucket: Number of the bucket.
+
+        Returns:
+            The region; None if the bucket is not in spillover.
+        """
+        buckets = self._region_by_bucket.get(service)
+        return buckets.get(bucket) if buckets else None
+
+    def move(self, service: str, bucket: int, home: str, region: str) -> bool:
+        """Move a bucket into, within or out of spillover, within the cap.
+
+        Args:
+            service: Name of the service.
+            bucket: Number of the bucket.
+            home: Region that the bucket is assigned to.
+            region: Region that shall serve it; `home` to leave spillover.
+
+        Returns:
+            Whether the cap allowed the move.
+        """
+        limit = self._limit_by_service.get(service)
+        if limit is None or not limit.allow(1):
+            return False
+        self._place(service, bucket, home, region)
+        return True
+
+    def is_exhausted(self, service: str) -> bool:
+        """Report whether the cap allows no further move now.
+
+        Args:
+            service: Name of the service.
+        """
+        limit = self._limit_by_service.get(service)
+        return limit is None or limit.available == 0
+
+    def advance(
+        self,
+        get_home: collections.abc.Callable[[str, int], str | None],
+        has_room: collections.abc.Callable[[str, str], bool],
+    ) -> None:
+        """Return buckets to regions that have had room for 5 s.
+
+        At most half of the cap is used, so that a region that fails again
+        right after its return can be left within the same window.
+
+        Args:
+            get_home: Returns the assigned region of (service, bucket).
+            has_room: Reports whether (service, region) can be reached and
+                has free slots to spare.
+        """
+        for service, buckets in self._region_by_bucket.items():
+            homes = {item: get_home(service, item) for item in buckets}
+            ready = {
+                home
+                for home in set(homes.values())
+                if home is not None
+                and self._is_ready(service, home, has_room(service, home))
+            }
+            limit = self._limit_by_service[service]
+            for bucket, home in homes.items():
+                if home == buckets[bucket]:
+                    # The split now assigns the bucket to the region that
+                    # serves it: nothing moves, so nothing is counted.
+                    self._place(service, bucket, home, home)
+                elif home in ready and limit.allow(1, limit.limit // 2):
+                    self._place(service, bucket, home, home)
+
+    def _is_ready(self, service: str, home: str, has_room: bool) -> bool:
+        key = service, home
+        if not has_room:
+            self._roomy_since_ms.pop(key, None)
+            return False
+        now_ms = self._clock.now_ms
+        since_ms = self._roomy_since_ms.setdefault(key, now_ms)
+        return now_ms - since_ms >= _RETURN_AFTER_MS
+
+    def _place(
+        self, service: str, bucket: int, home: str, region: str
+    ) -> None:
+        buckets = self._region_by_bucket[service]
+        if region == home:
+            buckets.pop(bucket, None)
+        else:
+            buckets[bucket] = region
+            # A departure shows that the region had no room just now.
+            self._roomy_since_ms.pop((service, home), None)
+        self.generation += 1
