Test steps, routes and lookups under faults

The writer is tested with two writers at once, a paused writer, lost and dropped responses, an outage while an outcome is unknown, stale reads and a configuration that changes in between; each test checks that the audit rows are complete, in order and more than a window apart.

--- /dev/null
+++ b/tests/steering/test_lookup.py
@@ -0,0 +1,150 @@
+"""Tests of lookup responses."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import msgspec
+
+from tests.steering import test_routing
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.blocks import block_map
+from wigeonhatch.steering import buckets
+from wigeonhatch.steering import lookup
+
+
+def _build(
+    name: str = 'host-north-1',
+) -> tuple[test_routing.Host, lookup.LookupTable]:
+    host = test_routing.Host(name)
+    return host, lookup.LookupTable(
+        host.clock, host.candidates, host.splits, host.spillover
+    )
+
+
+def _client(host: test_routing.Host, region: str, at: int = 0) -> str:
+    """Find the client number `at` that is assigned to a region."""
+    for number in range(65_536):
+        address = f'10.{number >> 8}.{number & 255}.1'
+        block = buckets.client_block(address)
+        assert block is not None
+        bucket = buckets.bucket_of('ledger', block)
+        if host.splits.region('ledger', bucket) == region:
+            if at == 0:
+                return address
+            at -= 1
+    raise AssertionError(region)
+
+
+def _ask(
+    table: lookup.LookupTable, client: str, keys: tuple[str, ...] = ()
+) -> dict[str, typing.Any]:
+    answer = table.answer_lookup('ledger', client, keys)
+    assert isinstance(answer, outcome.Success), answer
+    return typing.cast(
+        dict[str, typing.Any], msgspec.json.decode(answer.value)
+    )
+
+
+def _hosts(answer: dict[str, typing.Any]) -> list[str]:
+    return [item['host'].removeprefix('host-') for item in answer['hosts']]
+
+
+def test_response_names_hosts_of_the_region_first() -> None:
+    """Guards against callers that enter through the wrong region."""
+    host, table = _build()
+    answer = _ask(table, _client(host, 'south'), ('a', 'b'))
+    assert [item['region'] for item in answer['hosts']] == (
+        ['south'] * 2 + ['north'] * 2 + ['central'] * 2
+    )
+    assert answer['keys'] == ['a', 'b']
+    assert (answer['ttl_ms'], answer['version']) == (5_000, 1)
+    assert answer['service'] == 'ledger'
+    named = host.candidates.config.host_by_name[answer['hosts'][0]['host']]
+    assert answer['hosts'][0]['address'] == named.caller_address
+
+
+def test_callers_are_spread_by_capacity() -> None:
+    """Guards against a crowd of all callers at one host."""
+    host, table = _build()
+    host.members.load_by_host['host-south-1'].capacity = 15
+    first = collections.Counter(
+        _hosts(_ask(table, _client(host, 'south', at)))[0] for at in range(400)
+    )
+    assert 250 < first['south-1'] < 350
+    assert first['south-2'] == 400 - first['south-1']
+
+
+def test_full_draining_and_unreachable_hosts() -> None:
+    """Guards against callers that keep to hosts that cannot serve them."""
+    host, table = _build()
+    client = _client(host, 'south')
+    _ask(table, client)
+    host.members.load_by_host['host-south-1'].free = 0
+    host.members.record_by_host['host-south-1'].sequence += 1
+    host.members.unreachable = {'host-central-1'}
+    host.members.drained = frozenset({'host-central-2'})
+    host.clock.advance(250)
+    hosts = _hosts(_ask(table, client))
+    assert hosts[:2] == ['south-2', 'south-1']
+    assert set(hosts[2:]) == {'north-1', 'north-2'}
+    host.members.drained = frozenset(host.candidates.region_by_host)
+    host.clock.advance(250)
+    answer = table.answer_lookup('ledger', client)
+    assert isinstance(answer, outcome.Failure)
+    assert answer.code is codes.ResultCode.REGION_UNAVAILABLE
+
+
+def test_encoded_responses_are_reused_until_the_state_changes() -> None:
+    """Guards against encoding each response, and against old responses."""
+    host, table = _build()
+    client = _client(host, 'south')
+    before = table.answer_lookup('ledger', client)
+    host.clock.advance(10_000)
+    assert table.answer_lookup('ledger', client) == before
+    generation = table.generation
+    assert isinstance(before, outcome.Success)
+    again = table.answer_lookup('ledger', client)
+    assert isinstance(again, outcome.Success) and again.value is before.value
+    host.members.unreachable = {'host-south-1'}
+    host.clock.advance(250)
+    assert table.answer_lookup('ledger', client) != before
+    assert table.generation == generation + 1
+
+
+def test_spillover_moves_the_lookup_too() -> None:
+    """Guards against callers that enter where their bucket is not served."""
+    host, table = _build()
+    client = _client(host, 'south')
+    block = buckets.client_block(client)
+    assert block is not None
+    bucket = buckets.bucket_of('ledger', block)
+    assert host.spillover.move('ledger', bucket, 'south', 'central')
+    answer = _ask(table, client)
+    assert answer['hosts'][0]['region'] == 'central'
+
+
+def test_site_orders_the_other_regions() -> None:
+    """Guards against a fallback to a distant region."""
+    host, table = _build()
+    table.block_map = block_map.BlockMap()
+    client = _client(host, 'north')
+    near = block_map.Site('near', ('south', 'north', 'central'))
+    diff = block_map.BlockDiff(0, 1, [], [('10.0.0.0/8', 'near')], [near])
+    assert list(table.block_map.apply_slices(diff))[-1] is None
+    regions = [item['region'] for item in _ask(table, client)['hosts']]
+    assert regions[::2] == ['north', 'south', 'central']
+
+
+def test_refused_lookups() -> None:
+    """Guards against a wrong code for a lookup that has no answer."""
+    _, table = _build()
+    for service, client, code in (
+        ('ledger', 'nowhere', codes.ResultCode.BAD_CLIENT_ADDRESS),
+        ('album', '10.0.0.1', codes.ResultCode.UNKNOWN_SERVICE),
+    ):
+        answer = table.answer_lookup(service, client)
+        assert isinstance(answer, outcome.Failure)
+        assert answer.code is code
--- /dev/null
+++ b/tests/steering/test_step_writer.py
@@ -0,0 +1,251 @@
+"""Tests of the writer of steps against faults of the platform."""
+
+from __future__ import annotations
+
+import collections.abc
+import functools
+
+import anyio
+import msgspec
+import pytest
+
+from tests.steering import examples
+from wigeonhatch import clock as clocks
+from wigeonhatch.config import model
+from wigeonhatch.platform import interface
+from wigeonhatch.standins import memory_platform
+from wigeonhatch.steering import limiter
+from wigeonhatch.steering import ownership
+from wigeonhatch.steering import split
+from wigeonhatch.steering import step
+from wigeonhatch.steering import step_writer
+
+SHIFTED = {'central': 42.0, 'north': 28.0, 'south': 30.0}
+WINDOW_MS = limiter.window_ms(model.Cap(percent=5.0, interval_ms=10_000))
+
+
+class PausingPlatform(memory_platform.MemoryPlatform):
+    """Client that pauses before its next commit while others go on."""
+
+    while_paused: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+    pauses = 1
+
+    async def commit(
+        self, checks: list[interface.Check], writes: list[interface.Write]
+    ) -> interface.CommitResult:
+        """Commit after the pause."""
+        if self.pauses:
+            self.pauses -= 1
+            await self.while_paused()
+        return await super().commit(checks, writes)
+
+
+class Hosts:
+    """Step writers of several hosts on one platform, without exchange."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.platform = memory_platform.MemoryPlatform(self.clock)
+        self.config = examples.build_config()
+        names = ownership.rank(self.config.config.host_by_name, 'step/ledger')
+        self.clients = [self.platform.client() for _ in names]
+        self.tables = [split.SplitTable(self.clock) for _ in names]
+        self.writers = [
+            step_writer.StepWriter(
+                name, client, self.clock, lambda: self.config, table
+            )
+            for name, client, table in zip(names, self.clients, self.tables)
+        ]
+        for table in self.tables:
+            table.configure(self.config)
+            table.set_complete()
+
+    async def apply(self, config: model.VersionedConfig) -> None:
+        """Accept a configuration and give it to all hosts."""
+        self.config = config
+        await examples.apply_config(self.platform, config)
+        for table in self.tables:
+            table.configure(config)
+
+    async def start(self) -> None:
+        """Store the initial split, then ask for a shift."""
+        await self.apply(self.config)
+        await self.writers[0].poll()
+        await self.apply(examples.build_config(2, SHIFTED))
+
+    async def poll_for(self, duration_ms: int, *writers: int) -> None:
+        """Poll writers at the same instants for a time."""
+        for _ in range(duration_ms // 500):
+            async with anyio.create_task_group() as tasks:
+                for at in writers:
+                    tasks.start_soon(self.writers[at].poll)
+            self.clock.advance(500)
+
+    async def check_steps(self) -> split.StoredSplit:
+        """Check the rows and audit records of all steps."""
+        found = await self.platform.scan('')
+        assert isinstance(found, interface.ReadResult)
+        stored = split.decode(found.row_by_key['split/ledger'].value, 1).value
+        audits = [
+            msgspec.json.decode(row.value, type=step_writer.StepAudit)
+            for key, row in found.row_by_key.items()
+            if key.startswith('audit-step/ledger/')
+        ]
+        assert [item.step for item in audits] == list(range(stored.step + 1))
+        assert all(item.moved <= 50 for item in audits)
+        times = [
+            row.committed_ms
+            for key, row in found.row_by_key.items()
+            if key.startswith('audit-step/')
+        ]
+        gaps = [after - before for before, after in zip(times, times[1:])]
+        assert all(gap > WINDOW_MS for gap in gaps), gaps
+        committed = sum(writer.committed for writer in self.writers)
+        assert committed == len(audits)
+        return stored
+
+
+def run(
+    test: collections.abc.Callable[[Hosts], collections.abc.Awaitable[None]],
+) -> collections.abc.Callable[[], None]:
+    """Run an asynchronous test with hosts of its own."""
+
+    @functools.wraps(test)
+    def run_test() -> None:
+        anyio.run(test, Hosts())
+
+    del run_test.__wrapped__
+    return run_test
+
+
+@run
+async def test_writers_at_once_commit_each_step_once(hosts: Hosts) -> None:
+    """Guards against two steps in a window when writers race."""
+    await hosts.start()
+    writers = hosts.writers
+    for writer in writers[1:]:
+        writer._rank = lambda *_: 0  # type: ignore[method-assign]
+    await hosts.poll_for(70_000, 0, 1, 2)
+    stored = await hosts.check_steps()
+    assert stored.step == 3
+    assert stored.buckets == step.plan_step(stored.buckets, SHIFTED, 1_000)
+    assert sum(writer.conflicts for writer in writers) > 0
+
+
+@run
+async def test_lower_ranks_leave_the_step_to_the_first(hosts: Hosts) -> None:
+    """Guards against a load on the table that grows with the hosts."""
+    await hosts.start()
+    await hosts.poll_for(1_000, 0)
+    for client in hosts.clients[1:]:
+        client.count_by_operation.clear()
+    hosts.clock.advance(WINDOW_MS + 1)
+    await hosts.poll_for(500, *range(6))
+    assert all(
+        client.count_by_operation['commit'] == 0
+        for client in hosts.clients[1:]
+    )
+    await hosts.check_steps()
+
+
+@run
+async def test_next_rank_steps_in(hosts: Hosts) -> None:
+    """Guards against a shift that stops with the first writer."""
+    await hosts.start()
+    await hosts.poll_for(60_000, 4)
+    stored = await hosts.check_steps()
+    assert stored.step == 3
+
+
+@pytest.mark.parametrize('fault', ['lost_responses', 'dropped_writes'])
+def test_lost_responses_are_resolved_by_reading(fault: str) -> None:
+    """Guards against a step that is written twice or never."""
+
+    async def test(hosts: Hosts) -> None:
+        await hosts.start()
+        hosts.clock.advance(WINDOW_MS + 1)
+        for _ in range(6):
+            setattr(hosts.clients[0].faults, fault, 1)
+            await hosts.poll_for(20_000, 0, 1)
+        stored = await hosts.check_steps()
+        assert stored.step == 3
+
+    anyio.run(test, Hosts())
+
+
+@run
+async def test_lost_response_during_an_outage(hosts: Hosts) -> None:
+    """Guards against a new step while the outcome of one is unknown."""
+    await hosts.start()
+    hosts.clock.advance(WINDOW_MS + 1)
+    faults = hosts.clients[0].faults
+    faults.lost_responses = 1
+    reads = hosts.clients[0].read
+
+    async def go_down(keys: list[str]) -> object:
+        if faults.lost_responses == 0:
+            faults.down = True
+        return await reads(keys)
+
+    hosts.clients[0].read = go_down  # type: ignore[assignment]
+    await hosts.poll_for(20_000, 0)
+    assert hosts.writers[0].committed == 1
+    await hosts.poll_for(40_000, 1)
+    hosts.clients[0].read = reads  # type: ignore[method-assign]
+    faults.down = False
+    await hosts.poll_for(1_000, 0)
+    await hosts.check_steps()
+
+
+@run
+async def test_stale_reads_never_shorten_the_window(hosts: Hosts) -> None:
+    """Guards against a step that is planned from an old row."""
+    await hosts.start()
+    for client in hosts.clients:
+        client.faults.stale_reads = 2
+    await hosts.poll_for(70_000, 0, 1)
+    for client in hosts.clients:
+        client.faults.stale_reads = 0
+    await hosts.poll_for(70_000, 0, 1)
+    assert (await hosts.check_steps()).step == 3
+
+
+@run
+async def test_paused_writer_is_fenced(hosts: Hosts) -> None:
+    """Guards against a writer that resumes and repeats an old step."""
+    await hosts.start()
+    hosts.clock.advance(WINDOW_MS + 1)
+    paused = PausingPlatform(hosts.clock)
+    paused.__dict__.update(hosts.platform.client().__dict__)
+    hosts.writers[0]._platform = paused
+
+    async def others_go_on() -> None:
+        await hosts.poll_for(40_000, 1)
+
+    paused.while_paused = others_go_on  # type: ignore[method-assign]
+    await hosts.writers[0].poll()
+    assert hosts.writers[0].conflicts == 1
+    await hosts.poll_for(20_000, 0)
+    assert (await hosts.check_steps()).step == 3
+
+
+@run
+async def test_step_follows_the_newest_configuration(hosts: Hosts) -> None:
+    """Guards against a step towards shares that an operator withdrew."""
+    await hosts.start()
+    hosts.clock.advance(WINDOW_MS + 1)
+    old = hosts.config
+    await hosts.apply(examples.build_config(3))
+    hosts.config = old
+    await hosts.poll_for(20_000, *range(6))
+    assert (await hosts.check_steps()).step == 0
+
+
+@run
+async def test_a_cap_below_one_bucket_moves_nothing(hosts: Hosts) -> None:
+    """Guards against a step that rounds a cap up."""
+    await hosts.start()
+    cap = model.Cap(percent=0.05, interval_ms=1)
+    await hosts.apply(examples.build_config(3, SHIFTED, cap))
+    await hosts.poll_for(30_000, 0)
+    assert (await hosts.check_steps()).step == 0
