Merge and check the operators' files

The daemon and the commands need a checked configuration from a folder of small files.

A share is limited so that the region has enough slots when planned_load_percent (default 70, the load of the goals) of all slots of the service are in use. A limit at full load was ruled out: it would allow only shares in exact proportion to the slots, so that no shift could be accepted.

--- /dev/null
+++ b/wigeonhatch/config/merge.py
@@ -0,0 +1,264 @@
+"""Merge of the operators' files into one document."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import json
+import math
+import pathlib
+import typing
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.config import problems
+
+Document = dict[str, typing.Any]
+Path = tuple[str, ...]
+FILE_SUFFIX = '.json'
+MAX_FOLDER_BYTES = 32_000_000
+_MAX_DEPTH = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Merged:
+    """Merged document and the origin of its values.
+
+    Args:
+        document: Result of the merge, without nulls.
+        file_by_path: Last file that contributed to each path.
+    """
+
+    document: Document
+    file_by_path: dict[Path, str]
+
+    def source(self, path: Path) -> str:
+        """Name the file that a value or its nearest ancestor came from.
+
+        Args:
+            path: Path in the document; the value may be missing.
+        """
+        for length in range(len(path), -1, -1):
+            file = self.file_by_path.get(path[:length])
+            if file is not None:
+                return file
+        return problems.MERGED_SOURCE
+
+
+def read_folder(
+    path: str,
+) -> outcome.Success[dict[str, bytes]] | outcome.Failure:
+    """Read the JSON files of a folder.
+
+    Args:
+        path: Folder; files whose names do not end in `.json` or start with a
+            dot, and subfolders, are left out.
+
+    Returns:
+        Content by file name, or `CONFIG_INVALID`.
+    """
+    content_by_name: dict[str, bytes] = {}
+    size = 0
+    try:
+        for item in sorted(pathlib.Path(path).iterdir()):
+            hidden = item.name.startswith('.')
+            if hidden or item.suffix != FILE_SUFFIX or not item.is_file():
+                continue
+            content_by_name[item.name] = item.read_bytes()
+            size += len(content_by_name[item.name])
+            if size > MAX_FOLDER_BYTES:
+                return outcome.Failure(
+                    codes.ResultCode.CONFIG_INVALID,
+                    f'{path}: found more than {MAX_FOLDER_BYTES} bytes; '
+                    f'allowed: at most {MAX_FOLDER_BYTES} bytes',
+                )
+    except (OSError, ValueError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
+        return outcome.Failure(
+            codes.ResultCode.CONFIG_INVALID,
+            f'{path}: found: {reason}; allowed: a readable folder',
+        )
+    if not content_by_name:
+        return outcome.Failure(
+            codes.ResultCode.CONFIG_INVALID,
+            f'{path}: found no files; allowed: at least one *.json file',
+        )
+    return outcome.Success(content_by_name)
+
+
+def merge_folder(path: str) -> outcome.Success[Merged] | outcome.Failure:
+    """Merge the JSON files of a folder in the order of their names.
+
+    Args:
+        path: Folder with files `*.json`.
+
+    Returns:
+        The merged document, or `CONFIG_INVALID` with one line for each
+        problem.
+    """
+    files = read_folder(path)
+    if isinstance(files, outcome.Failure):
+        return files
+    return merge_files(files.value)
+
+
+def merge_files(
+    content_by_name: collections.abc.Mapping[str, bytes],
+) -> outcome.Success[Merged] | outcome.Failure:
+    """Merge files in the order of their names, later over earlier.
+
+    Objects merge by key, lists and scalars are replaced, null deletes.
+
+    Args:
+        content_by_name: Content of each file.
+
+    Returns:
+        The merged document, or `CONFIG_INVALID` with one line for each
+        problem of any file.
+    """
+    merged = Merged({}, {})
+    found: list[problems.Problem] = []
+    for name in sorted(content_by_name):
+        parsed = _parse_file(name, content_by_name[name])
+        if isinstance(parsed, problems.Problem):
+            found.append(parsed)
+        else:
+            _merge_into(merged.document, parsed, (), name, merged.file_by_path)
+    if found:
+        return problems.fail(found)
+    return outcome.Success(merged)
+
+
+def apply_patch(document: Document, patch: Document) -> Document:
+    """Merge a patch into a document.
+
+    Args:
+        document: Base; not modified.
+        patch: Objects merge by key, null deletes.
+
+    Returns:
+        A new document that shares unchanged parts with the base.
+    """
+    result = dict(document)
+    for key, value in patch.items():
+        if value is None:
+            result.pop(key, None)
+        elif isinstance(value, dict):
+            base = result.get(key)
+            result[key] = apply_patch(
+                base if isinstance(base, dict) else {}, value
+            )
+        else:
+            result[key] = value
+    return result
+
+
+class _DuplicateKey(ValueError):
+    """A JSON object has the same key twice."""
+
+
+def _merge_into(
+    document: Document,
+    patch: Document,
+    path: Path,
+    file: str,
+    file_by_path: dict[Path, str],
+) -> None:
+    file_by_path[path] = file
+    for key, value in patch.items():
+        inner = (*path, key)
+        if value is None:
+            document.pop(key, None)
+            _forget(inner, file_by_path)
+        elif isinstance(value, dict):
+            if not isinstance(document.get(key), dict):
+                _forget(inner, file_by_path)
+                document[key] = {}
+            _merge_into(document[key], value, inner, file, file_by_path)
+        else:
+            if isinstance(document.get(key), dict):
+                _forget(inner, file_by_path)
+            document[key] = value
+            file_by_path[inner] = file
+
+
+def _forget(path: Path, file_by_path: dict[Path, str]) -> None:
+    for known in [item for item in file_by_path if item[: len(path)] == path]:
+        del file_by_path[known]
+
+
+def _parse_file(name: str, content: bytes) -> Document | problems.Problem:
+    try:
+        parsed = json.loads(
+            content.decode(),
+            object_pairs_hook=_object_from_pairs,
+            parse_constant=_refuse_constant,
+            parse_float=_finite_float,
+        )
+        # Lone surrogates parse, but no encoder can write them again.
+        json.dumps(parsed, ensure_ascii=False).encode()
+    except _DuplicateKey as error:
+        return problems.Problem(
+            name, str(error), 'the key twice', 'each key once in an object'
+        )
+    except json.JSONDecodeError as error:
+        where = f'line {error.lineno} column {error.colno}'
+        return problems.Problem(name, where, error.msg, 'valid JSON')
+    except UnicodeError as error:
+        return problems.Problem(
+            name, problems.DOCUMENT_PATH, error.reason, 'JSON in UTF-8'
+        )
+    except (ValueError, RecursionError) as error:
+        return problems.Problem(
+            name, problems.DOCUMENT_PATH, str(error)[:120], 'valid JSON'
+        )
+    if not isinstance(parsed, dict):
+        return problems.Problem(
+            name,
+            problems.DOCUMENT_PATH,
+            problems.show_value(parsed),
+            'an object',
+        )
+    if _depth(parsed) > _MAX_DEPTH:
+        return problems.Problem(
+            name,
+            problems.DOCUMENT_PATH,
+            f'values nested more than {_MAX_DEPTH} deep',
+            f'at most {_MAX_DEPTH} levels',
+        )
+    return parsed
+
+
+def _object_from_pairs(pairs: list[tuple[str, typing.Any]]) -> Document:
+    document = dict(pairs)
+    if len(document) != len(pairs):
+        seen: set[str] = set()
+        for key, _ in pairs:
+            if key in seen:
+                raise _DuplicateKey(key)
+            seen.add(key)
+    return document
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is no JSON number')
+
+
+def _finite_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f'{text[:40]} is out of range')
+    return value
+
+
+def _depth(value: object) -> int:
+    deepest = 0
+    pending = [(value, 1)]
+    while pending:
+        item, level = pending.pop()
+        deepest = max(deepest, level)
+        if isinstance(item, dict):
+            pending.extend((inner, level + 1) for inner in item.values())
+        elif isinstance(item, list):
+            pending.extend((inner, level + 1) for inner in item)
+    return deepest
--- a/wigeonhatch/config/model.py
+++ b/wigeonhatch/config/model.py
@@ -13,7 +13,15 @@
 _STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
 LOOKUP_TTL_MS = 5_000
 Percent = typing.Annotated[float, pydantic.Field(ge=0, le=100)]
-CapPercent = typing.Annotated[float, pydantic.Field(gt=0, le=100)]
+# One of the 1,000 buckets; with a smaller cap no bucket could ever move.
+MIN_CAP_PERCENT = 0.1
+CapPercent = typing.Annotated[
+    float, pydantic.Field(ge=MIN_CAP_PERCENT, le=100)
+]
+SlotCount = typing.Annotated[int, pydantic.Field(ge=1, le=100_000)]
+Mbit = typing.Annotated[int, pydantic.Field(ge=1, le=10_000_000)]
+IntervalMs = typing.Annotated[int, pydantic.Field(ge=1, le=86_400_000)]
+EpochMs = typing.Annotated[int, pydantic.Field(ge=0, le=2**53)]
 
 
 def _percent_from_int(value: object) -> object:
@@ -39,7 +47,7 @@
 class Link:
     """Size of the link between two regions, each way."""
 
-    mbit_per_s: settings.PositiveInt
+    mbit_per_s: Mbit
 
 
 @checked.dataclass(frozen=True, config=_STRICT)
@@ -57,12 +65,12 @@
     """Largest part of a service's buckets that may move in a window.
 
     Args:
-        percent: Percent of the buckets, above 0.
+        percent: Percent of the buckets, at least `MIN_CAP_PERCENT`.
         interval_ms: Length of the window in ms, without the lookup TTL.
     """
 
     percent: CapShare
-    interval_ms: settings.PositiveInt
+    interval_ms: IntervalMs
 
 
 @checked.dataclass(frozen=True, config=_STRICT)
@@ -77,8 +85,8 @@
         failover_cap: Cap for spillover; the shift cap if absent.
     """
 
-    slots: settings.PositiveInt
-    connections: settings.PositiveInt
+    slots: SlotCount
+    connections: SlotCount
     share_by_region: dict[str, Share]
     shift_cap: Cap
     failover_cap: Cap | None = None
@@ -114,18 +122,34 @@
 
 @checked.dataclass(frozen=True, config=_STRICT)
 class Drain:
-    """A host or target that must receive no new requests."""
+    """A host or target that must receive no new requests.
+
+    Args:
+        since_ms: Time of the drain since the Unix epoch in ms; 0 if unknown.
+        source: What set the drain. A drain set by the command is kept when
+            the files are applied again, and ends with `undrain`.
+    """
 
     kind: typing.Literal['host', 'target']
-    since_ms: int = 0
+    since_ms: EpochMs = 0
+    source: typing.Literal['files', 'command'] = 'files'
 
 
 @checked.dataclass(frozen=True, config=_STRICT)
 class Tuning:
-    """Parameters of admission that operators may change."""
+    """Parameters that operators may change.
+
+    Args:
+        floor_percent: Part of a target's slots that its owner may use
+            without a lease.
+        hold_back_percent: Part of an unused reservation that is not lent.
+        planned_load_percent: Part of all slots of a service that is in use
+            at the highest planned load; limits the shares of the regions.
+    """
 
     floor_percent: Share = 50.0
     hold_back_percent: Share = 20.0
+    planned_load_percent: Share = 70.0
 
 
 @checked.dataclass(frozen=True, config=_STRICT)
--- /dev/null
+++ b/wigeonhatch/config/problems.py
@@ -0,0 +1,75 @@
+"""Problems found in the operators' files."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+
+DOCUMENT_PATH = '(document)'
+MERGED_SOURCE = '(merged)'
+_MAX_FOUND_LENGTH = 120
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One error in one file.
+
+    Args:
+        file: Name of the file that the value came from.
+        path: Keys from the root to the value, joined by dots.
+        found: What the file has.
+        allowed: What it may have.
+    """
+
+    file: str
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return (
+            f'{self.file}: {self.path}: found {self.found}; '
+            f'allowed: {self.allowed}'
+        )
+
+
+def show_value(value: object) -> str:
+    """Render a value for an error message.
+
+    Args:
+        value: Any JSON value.
+
+    Returns:
+        JSON text of at most 120 characters.
+    """
+    text = json.dumps(value, default=repr)
+    if len(text) > _MAX_FOUND_LENGTH:
+        return text[: _MAX_FOUND_LENGTH - 3] + '...'
+    return text
+
+
+def show_path(path: tuple[str, ...]) -> str:
+    """Render a path for an error message.
+
+    Args:
+        path: Keys from the root; empty for the document.
+    """
+    return '.'.join(path) or DOCUMENT_PATH
+
+
+def fail(found: list[Problem]) -> outcome.Failure:
+    """Combine problems into one outcome.
+
+    Args:
+        found: At least one problem.
+
+    Returns:
+        `CONFIG_INVALID` with one line for each problem.
+    """
+    return outcome.Failure(
+        codes.ResultCode.CONFIG_INVALID,
+        '\n'.join(str(problem) for problem in found),
+    )
