--- a/wigeonhatch/config/merge.py
+++ b/wigeonhatch/config/merge.py
@@ -206,7 +206,7 @@
         return problems.Problem(name, where, error.msg, 'valid JSON')
     except UnicodeError as error:
         return problems.Problem(
-            name, problems.DOCUMENT_PATH, error.reason, 'JSON in UTF-8'
+            name, problems.DOCUMENT_PATH, str(error), 'JSON in UTF-8'
         )
     except (ValueError, RecursionError) as error:
         return problems.Problem(
