Add the operators' service, interface and commands

Operators need to change the configuration safely and see what is in force.

OperatorService checks the files, stores the document under the change ID and commits config/head and audit/NNNNNNNN in one transaction against the base version. A commit with an unknown outcome is resolved by rows: the commit checks that refused/ID is absent, so writing refused/ID against the same base makes a commit that is still on its way fail, and the change is then certainly not accepted. Repeating the commit was ruled out, since it could accept a change whose refusal was already reported. Reads are validated by a commit without writes, because plain reads may be stale.

Drains set by command carry source 'command' and survive the next apply; otherwise a routine apply would put a draining host back into service.

--- a/wigeonhatch/__main__.py
+++ b/wigeonhatch/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wigeonhatch import cli
+from wigeonhatch.cli import program
 
 if __name__ == '__main__':
-    cli.main()
+    program.main()
--- /dev/null
+++ b/wigeonhatch/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command line: the daemon and the operators' commands."""
+
+from __future__ import annotations
+
+from wigeonhatch.cli.program import main
+
+__all__ = ['main']
--- a/wigeonhatch/config/_rules.py
+++ b/wigeonhatch/config/_rules.py
@@ -4,24 +4,17 @@
 
 import collections.abc
 import itertools
-import re
 import typing
 
 from wigeonhatch import settings
 from wigeonhatch.config import merge
 from wigeonhatch.config import model
+from wigeonhatch.config import names
 from wigeonhatch.config import problems
 
 SHARE_SUM_TOLERANCE_PERCENT = 0.01
 # One bucket; shares are written with two decimals and applied in buckets.
 _SLOT_TOLERANCE_PERCENT = 0.1
-# Names appear in paths of URLs, in keys of rows and, joined by a slash, in
-# keys of links.
-_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}', re.ASCII)
-_NAME_ALLOWED = (
-    'a name of 1 to 63 letters, digits, ".", "_" and "-" that starts with a '
-    'letter or digit'
-)
 _NAMED_SECTIONS = (
     'region_by_name',
     'host_by_name',
@@ -54,15 +47,6 @@
     ]
 
 
-def is_name(text: str) -> bool:
-    """Tell whether a text may name a host, service, target or customer.
-
-    Args:
-        text: Any text.
-    """
-    return _NAME.fullmatch(text) is not None
-
-
 def _check_names(
     section: str,
 ) -> collections.abc.Callable[
@@ -72,8 +56,8 @@
         item_by_name: dict[str, object],
     ) -> collections.abc.Iterator[Violation]:
         for name in item_by_name:
-            if not is_name(name):
-                yield (section, name), problems.show_value(name), _NAME_ALLOWED
+            if not names.is_name(name):
+                yield (section, name), problems.show_value(name), names.ALLOWED
 
     return check
 
@@ -87,8 +71,8 @@
         if not region.domains:
             yield path, 'no domains', 'at least one failure domain'
         for domain in region.domains:
-            if not is_name(domain):
-                yield path, problems.show_value(domain), _NAME_ALLOWED
+            if not names.is_name(domain):
+                yield path, problems.show_value(domain), names.ALLOWED
             elif domain in region_by_domain:
                 yield (
                     path,
--- a/wigeonhatch/config/head.py
+++ b/wigeonhatch/config/head.py
@@ -20,12 +20,12 @@
         version: Version of the configuration, from 1.
         change_id: Change that made it; the object `config/CHANGE_ID` holds
             the document.
-        digest: SHA-256 of the object, in hexadecimal.
+        digest: SHA-256 of the object, in hexadecimal; not checked if empty.
     """
 
     version: int
     change_id: str
-    digest: str
+    digest: str = ''
 
 
 def encode_document(document: merge.Document) -> bytes:
--- /dev/null
+++ b/wigeonhatch/operators/_committing.py
@@ -0,0 +1,323 @@
+"""Commit of one change, resolved when its outcome is unknown."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.config import diff
+from wigeonhatch.config import head as heads
+from wigeonhatch.config import merge
+from wigeonhatch.operators import _reading
+from wigeonhatch.operators import records
+from wigeonhatch.platform import interface
+
+RESOLVE_LIMIT_MS = 8_000
+RESOLVE_PAUSE_MS = 200
+LOST = _reading.unavailable('the write was lost and did not take effect')
+"""Outcome of a commit that is certain not to take effect any more."""
+_MAX_NAMED_CHANGES = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One attempt to accept a document.
+
+    Args:
+        change_id: Identifies the attempt; never used again.
+        operator: Name that the operator gave.
+        action: What the operator asked for.
+        base: Accepted configuration that the change replaces.
+        before: Document of the base.
+        after: New document, checked.
+    """
+
+    change_id: str
+    operator: str
+    action: str
+    base: _reading.Head
+    before: merge.Document
+    after: merge.Document
+
+    @property
+    def version(self) -> int:
+        """Version that the change makes."""
+        return self.base.value.version + 1
+
+
+class ChangeWriter:
+    """Write changes and their audit records.
+
+    Args:
+        host: Name of this host.
+        platform: Platform.
+        clock: Clock of this host.
+    """
+
+    def __init__(
+        self, host: str, platform: interface.Platform, clock: clocks.Clock
+    ) -> None:
+        self._host = host
+        self._platform = platform
+        self._clock = clock
+
+    async def write(
+        self, change: Change
+    ) -> outcome.Success[int] | outcome.Failure:
+        """Store the document and commit the change.
+
+        Args:
+            change: Change whose document has been checked.
+
+        Returns:
+            The accepted version; `CONFLICT` with what was accepted instead,
+            `PLATFORM_UNAVAILABLE` (`LOST` if the platform responds again)
+            if the change did certainly not take effect, or
+            `PLATFORM_UNKNOWN`.
+        """
+        content = heads.encode_document(change.after)
+        stored = await self._store(change, content)
+        if stored is not None:
+            return stored
+        head = heads.ConfigHead(
+            change.version, change.change_id, heads.digest(content)
+        )
+        result = await self._platform.commit(
+            self._checks(change),
+            [
+                interface.Write(heads.HEAD_KEY, msgspec.json.encode(head)),
+                interface.Write(
+                    records.audit_key(change.version),
+                    msgspec.json.encode(self._audit_record(change)),
+                ),
+            ],
+        )
+        if isinstance(result, interface.Committed):
+            return outcome.Success(change.version)
+        if isinstance(result, interface.Unavailable):
+            return _reading.unavailable(result.detail)
+        if isinstance(result, interface.Conflict):
+            row = result.row_by_key.get(records.audit_key(change.version))
+            audit = records.decode(row, records.AuditRecord)
+            # A commit that the transport sent twice conflicts with itself.
+            if audit is not None and audit.change_id == change.change_id:
+                return outcome.Success(change.version)
+            return await self.explain_conflict(change.base)
+        return await self._resolve(change)
+
+    async def refuse(
+        self,
+        change_id: str,
+        operator: str,
+        action: str,
+        base_version: int,
+        failure: outcome.Failure,
+    ) -> interface.CommitResult:
+        """Record a refused change; nothing is repeated if this fails.
+
+        Args:
+            change_id: Identifies the change.
+            operator: Name that the operator gave.
+            action: What the operator asked for.
+            base_version: Version that the change was made from.
+            failure: Why it was refused.
+        """
+        record = self._refused_record(
+            change_id, operator, action, base_version, failure
+        )
+        key = records.refused_key(change_id)
+        return await self._platform.commit(
+            [interface.Check(key, interface.ABSENT)],
+            [interface.Write(key, msgspec.json.encode(record))],
+        )
+
+    async def _store(
+        self, change: Change, content: bytes
+    ) -> outcome.Failure | None:
+        name = heads.OBJECT_PREFIX + change.change_id
+        result = await self._platform.put_object(name, content)
+        if isinstance(result, interface.Unknown):
+            found = await self._platform.get_object(name)
+            if found == content:
+                return None
+            # No row names the object yet, and the content is the same, so
+            # storing it again cannot change an accepted version.
+            result = await self._platform.put_object(name, content)
+        if result is None:
+            return None
+        # Without a commit the object has no effect.
+        return _reading.unavailable(result.detail)
+
+    async def _resolve(
+        self, change: Change
+    ) -> outcome.Success[int] | outcome.Failure:
+        """Find out what became of a commit.
+
+        The rows tell whether the change was accepted. If not, a refused row
+        that the commit checks is written, so that a commit that is still on
+        its way fails; from then on the change is certainly not accepted.
+        """
+        audit_key = records.audit_key(change.version)
+        refused_key = records.refused_key(change.change_id)
+        deadline_ms = self._clock.now_ms + RESOLVE_LIMIT_MS
+        while self._clock.now_ms < deadline_ms:
+            rows = await _reading.read_current(
+                self._platform, [heads.HEAD_KEY, audit_key, refused_key]
+            )
+            if isinstance(rows, outcome.Failure):
+                await self._clock.sleep_ms(RESOLVE_PAUSE_MS)
+                continue
+            audit = records.decode(
+                rows.value.get(audit_key), records.AuditRecord
+            )
+            if audit is not None:
+                if audit.change_id == change.change_id:
+                    return outcome.Success(change.version)
+                return await self.explain_conflict(change.base)
+            if refused_key in rows.value:
+                return LOST
+            head = rows.value.get(heads.HEAD_KEY)
+            head_version = interface.ABSENT if head is None else head.version
+            if head_version != change.base.row_version:
+                return await self.explain_conflict(change.base)
+            if await self._fence(change):
+                return LOST
+            await self._clock.sleep_ms(RESOLVE_PAUSE_MS)
+        return outcome.Failure(
+            codes.ResultCode.PLATFORM_UNKNOWN,
+            f'change {change.change_id}: the platform confirmed neither that '
+            f'it was accepted nor that it was not; `audit` tells later',
+        )
+
+    async def _fence(self, change: Change) -> bool:
+        record = self._refused_record(
+            change.change_id,
+            change.operator,
+            change.action,
+            change.base.value.version,
+            outcome.Failure(
+                codes.ResultCode.PLATFORM_UNAVAILABLE, 'the write was lost'
+            ),
+        )
+        key = records.refused_key(change.change_id)
+        result = await self._platform.commit(
+            self._checks(change),
+            [interface.Write(key, msgspec.json.encode(record))],
+        )
+        return isinstance(result, interface.Committed)
+
+    async def explain_conflict(self, base: _reading.Head) -> outcome.Failure:
+        """Tell what was accepted after a version.
+
+        Args:
+            base: Version that the operator's change was made from.
+
+        Returns:
+            `CONFLICT` with each later change and its differences.
+        """
+        first = base.value.version + 1
+        current = await _reading.read_head(self._platform)
+        if isinstance(current, outcome.Failure):
+            return outcome.Failure(
+                codes.ResultCode.CONFLICT,
+                f'version {first} was accepted from another change',
+            )
+        last = current.value.value.version
+        listed = await read_audit(
+            self._platform, max(first, last - _MAX_NAMED_CHANGES + 1), last
+        )
+        lines = [
+            f'the change was made from version {base.value.version}, '
+            f'but version {last} is accepted'
+        ]
+        if isinstance(listed, outcome.Success):
+            lines.extend(
+                line
+                for record in listed.value
+                for line in _describe_record(record)
+            )
+        return outcome.Failure(codes.ResultCode.CONFLICT, '\n'.join(lines))
+
+    def _checks(self, change: Change) -> list[interface.Check]:
+        return [
+            interface.Check(heads.HEAD_KEY, change.base.row_version),
+            interface.Check(
+                records.audit_key(change.version), interface.ABSENT
+            ),
+            interface.Check(
+                records.refused_key(change.change_id), interface.ABSENT
+            ),
+        ]
+
+    def _audit_record(self, change: Change) -> records.AuditRecord:
+        differences = diff.diff_documents(change.before, change.after)
+        return records.AuditRecord(
+            version=change.version,
+            base_version=change.base.value.version,
+            change_id=change.change_id,
+            operator=change.operator,
+            action=change.action,
+            host=self._host,
+            accepted_ms=self._clock.wall_ms,
+            differences=differences[: records.MAX_DIFFERENCES],
+            omitted=max(0, len(differences) - records.MAX_DIFFERENCES),
+        )
+
+    def _refused_record(
+        self,
+        change_id: str,
+        operator: str,
+        action: str,
+        base_version: int,
+        failure: outcome.Failure,
+    ) -> records.RefusedRecord:
+        return records.RefusedRecord(
+            change_id=change_id,
+            operator=operator,
+            action=action,
+            host=self._host,
+            refused_ms=self._clock.wall_ms,
+            base_version=base_version,
+            code=int(failure.code),
+            reason=failure.detail[: records.MAX_REASON_LENGTH],
+        )
+
+
+async def read_audit(
+    platform: interface.Platform, first: int, last: int
+) -> outcome.Success[list[records.AuditRecord]] | outcome.Failure:
+    """Read the records of a range of versions.
+
+    Args:
+        platform: Platform.
+        first: First version, at least 1.
+        last: Last version.
+
+    Returns:
+        The records in order, or `PLATFORM_UNAVAILABLE`.
+    """
+    keys = [records.audit_key(version) for version in range(first, last + 1)]
+    rows = await _reading.read_current(platform, keys)
+    if isinstance(rows, outcome.Failure):
+        return rows
+    decoded = (
+        records.decode(rows.value.get(key), records.AuditRecord)
+        for key in keys
+    )
+    return outcome.Success([item for item in decoded if item is not None])
+
+
+def _describe_record(record: records.AuditRecord) -> list[str]:
+    lines = [
+        f'version {record.version}: {record.action} by {record.operator} '
+        f'on {record.host}, change {record.change_id}'
+    ]
+    lines.extend(f'  {item}' for item in record.differences[:50])
+    hidden = len(record.differences) - 50 + record.omitted
+    if hidden > 0:
+        lines.append(f'  and {hidden} more differences')
+    return lines
--- /dev/null
+++ b/wigeonhatch/operators/service.py
@@ -0,0 +1,519 @@
+"""Changes of the configuration, and what operators can look up."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import logging
+import secrets
+import typing
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.config import check
+from wigeonhatch.config import drains
+from wigeonhatch.config import head as heads
+from wigeonhatch.config import merge
+from wigeonhatch.config import model
+from wigeonhatch.operators import _committing
+from wigeonhatch.operators import _reading
+from wigeonhatch.operators import records
+from wigeonhatch.operators import view
+from wigeonhatch.platform import interface
+
+MAX_EDIT_ATTEMPTS = 20
+MAX_LOST_ATTEMPTS = 3
+MAX_AUDIT_RECORDS = 200
+CONFIRM_PAUSE_MS = 50
+_EDIT_PAUSE_MS = 50
+
+_LOG = logging.getLogger(__name__)
+_Edit = collections.abc.Callable[
+    [merge.Document], outcome.Success[merge.Document] | outcome.Failure
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """Who asks for a change, and how it is identified.
+
+    Args:
+        change_id: Drawn by the caller; never used for another request.
+        operator: Name of the operator, for the audit trail.
+    """
+
+    change_id: str
+    operator: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Result of a change.
+
+    Args:
+        version: Version in which the change is contained.
+        change_id: Change that made the version; empty if the configuration
+            was the same already.
+        changed: Whether a new version was made.
+    """
+
+    version: int
+    change_id: str
+    changed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundChange:
+    """What became of a change; None if it is not among the accepted ones."""
+
+    accepted: Accepted | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Which hosts have a version in force.
+
+    Args:
+        version: Version asked for.
+        confirmed: Hosts with this version or a newer one.
+        waiting: Reachable hosts with an older version.
+        unreachable: Configured hosts that cannot confirm.
+    """
+
+    version: int
+    confirmed: list[str]
+    waiting: list[str]
+    unreachable: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shown:
+    """Configuration in force on the answering host."""
+
+    version: int
+    change_id: str
+    document: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """State of the system as the answering host knows it."""
+
+    host: str
+    version: int
+    hosts: list[view.HostStatus]
+    splits: dict[str, view.SplitStatus]
+    shares: dict[str, dict[str, float]]
+    drains: dict[str, list[str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditTrail:
+    """Accepted changes, newest first, and steps of shifts."""
+
+    version: int
+    changes: list[records.AuditRecord]
+    steps: list[records.AuditStep]
+
+
+def new_change_id() -> str:
+    """Draw an identifier for a change."""
+    return secrets.token_hex(8)
+
+
+class OperatorService:
+    """Apply changes and answer operators on one entry host.
+
+    Args:
+        host: Name of this host.
+        platform: Platform.
+        daemon: State of the daemon.
+        clock: Clock of this host.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        platform: interface.Platform,
+        daemon: view.DaemonView,
+        clock: clocks.Clock,
+    ) -> None:
+        self._host = host
+        self._platform = platform
+        self._daemon = daemon
+        self._clock = clock
+        self._writer = _committing.ChangeWriter(host, platform, clock)
+
+    async def apply(
+        self,
+        request: ChangeRequest,
+        content_by_name: collections.abc.Mapping[str, bytes],
+        base_version: int | None = None,
+    ) -> outcome.Success[Accepted] | outcome.Failure:
+        """Make a folder of files the configuration.
+
+        Drains that were set by command are kept.
+
+        Args:
+            request: Who asks.
+            content_by_name: Files of the folder.
+            base_version: Version that the operator compared with; the one
+                accepted now if None.
+
+        Returns:
+            The accepted version, or `CONFIG_INVALID`, `CONFLICT`,
+            `PLATFORM_UNAVAILABLE` (no effect) or `PLATFORM_UNKNOWN`.
+        """
+        merged = merge.merge_files(content_by_name)
+        if isinstance(merged, outcome.Failure):
+            return await self._refuse(request, 'apply', base_version, merged)
+        checked = check.check_merged(merged.value)
+        if isinstance(checked, outcome.Failure):
+            return await self._refuse(request, 'apply', base_version, checked)
+        document = merged.value.document
+
+        def replace(
+            current: merge.Document,
+        ) -> outcome.Success[merge.Document] | outcome.Failure:
+            return outcome.Success(drains.keep_commanded(current, document))
+
+        return await self._change(
+            request, 'apply', replace, base_version, may_repeat=False
+        )
+
+    async def drain(
+        self, request: ChangeRequest, name: str
+    ) -> outcome.Success[Accepted] | outcome.Failure:
+        """Stop new requests to a host or target.
+
+        Args:
+            request: Who asks.
+            name: Name of the host or target.
+
+        Returns:
+            As `apply`, and `UNKNOWN_NAME`. The edit is repeated on a newer
+            version when another change was accepted first.
+        """
+        since_ms = self._clock.wall_ms
+
+        def add(
+            current: merge.Document,
+        ) -> outcome.Success[merge.Document] | outcome.Failure:
+            kind = drains.find_kind(current, name)
+            if kind is None:
+                return _unknown_name(name)
+            return outcome.Success(drains.add(current, name, kind, since_ms))
+
+        return await self._change(
+            request, f'drain {name}', add, None, may_repeat=True
+        )
+
+    async def undrain(
+        self, request: ChangeRequest, name: str
+    ) -> outcome.Success[Accepted] | outcome.Failure:
+        """Let a host or target receive new requests again.
+
+        Args:
+            request: Who asks.
+            name: Name of the host or target.
+
+        Returns:
+            As `drain`.
+        """
+
+        def remove(
+            current: merge.Document,
+        ) -> outcome.Success[merge.Document] | outcome.Failure:
+            if drains.find_kind(current, name) is None:
+                return _unknown_name(name)
+            return outcome.Success(drains.remove(current, name))
+
+        return await self._change(
+            request, f'undrain {name}', remove, None, may_repeat=True
+        )
+
+    def show(self) -> outcome.Success[Shown] | outcome.Failure:
+        """Return the configuration in force on this host.
+
+        Returns:
+            The configuration, or `NOT_READY` before the first.
+        """
+        current = self._daemon.current
+        if current is None:
+            return outcome.Failure(
+                codes.ResultCode.NOT_READY,
+                f'host {self._host} has no configuration yet',
+            )
+        return outcome.Success(
+            Shown(current.version, current.change_id, current.document)
+        )
+
+    def status(self) -> Status:
+        """Return the state of the system as this host knows it."""
+        current = self._daemon.current
+        shares: dict[str, dict[str, float]] = {}
+        if current is not None:
+            shares = {
+                name: dict(service.share_by_region)
+                for name, service in current.config.service_by_name.items()
+            }
+        return Status(
+            host=self._host,
+            version=current.version if current else 0,
+            hosts=sorted(self._daemon.hosts(), key=lambda item: item.host),
+            splits=self._daemon.splits(),
+            shares=shares,
+            drains=self._daemon.drains(),
+        )
+
+    async def audit(
+        self, limit: int
+    ) -> outcome.Success[AuditTrail] | outcome.Failure:
+        """Read the newest accepted changes and the steps of shifts.
+
+        Args:
+            limit: Number of changes and of steps, at most
+                `MAX_AUDIT_RECORDS`.
+
+        Returns:
+            The trail, or `PLATFORM_UNAVAILABLE`.
+        """
+        limit = max(1, min(limit, MAX_AUDIT_RECORDS))
+        head = await _reading.read_head(self._platform)
+        if isinstance(head, outcome.Failure):
+            return head
+        last = head.value.value.version
+        changes = await _committing.read_audit(
+            self._platform, max(1, last - limit + 1), last
+        )
+        if isinstance(changes, outcome.Failure):
+            return changes
+        rows = await self._platform.read(
+            [
+                records.step_key(service, step)
+                for service, split in self._daemon.splits().items()
+                for step in range(
+                    max(0, split.step - limit + 1), split.step + 1
+                )
+            ]
+        )
+        if isinstance(rows, interface.Unavailable):
+            return _reading.unavailable(rows.detail)
+        steps = [
+            dataclasses.replace(step, committed_ms=row.committed_ms)
+            for row in rows.row_by_key.values()
+            if (step := records.decode(row, records.AuditStep)) is not None
+        ]
+        steps.sort(key=lambda step: step.committed_ms, reverse=True)
+        return outcome.Success(
+            AuditTrail(last, changes.value[::-1], steps[:limit])
+        )
+
+    async def find_change(
+        self, change_id: str
+    ) -> outcome.Success[FoundChange] | outcome.Failure:
+        """Find out what became of a change.
+
+        Args:
+            change_id: Identifier that the request carried.
+
+        Returns:
+            The accepted version, if it is among the newest
+            `MAX_AUDIT_RECORDS` changes; `PLATFORM_UNAVAILABLE`.
+        """
+        trail = await self.audit(MAX_AUDIT_RECORDS)
+        if isinstance(trail, outcome.Failure):
+            return trail
+        for record in trail.value.changes:
+            if record.change_id.partition('.')[0] == change_id:
+                accepted = Accepted(record.version, record.change_id, True)
+                return outcome.Success(FoundChange(accepted))
+        return outcome.Success(FoundChange(None))
+
+    def confirmation(self, version: int) -> Confirmation:
+        """Tell which hosts have a version in force.
+
+        Args:
+            version: Version asked for.
+        """
+        current = self._daemon.current
+        status_by_host = {item.host: item for item in self._daemon.hosts()}
+        names = set(status_by_host)
+        if current is not None:
+            names &= set(current.config.host_by_name)
+            names |= set(current.config.host_by_name)
+        confirmed, waiting, unreachable = [], [], []
+        for name in sorted(names):
+            status = status_by_host.get(name)
+            if status is None or not status.reachable:
+                unreachable.append(name)
+            elif status.config_version >= version:
+                confirmed.append(name)
+            else:
+                waiting.append(name)
+        return Confirmation(version, confirmed, waiting, unreachable)
+
+    async def wait_confirmed(
+        self, version: int, wait_ms: int
+    ) -> outcome.Success[Confirmation] | outcome.Failure:
+        """Wait until all reachable hosts have a version in force.
+
+        Args:
+            version: Version asked for.
+            wait_ms: Time limit in ms.
+
+        Returns:
+            The confirmation, or `NOT_CONFIRMED` with the hosts that lack
+            the version.
+        """
+        deadline_ms = self._clock.now_ms + wait_ms
+        while True:
+            state = self.confirmation(version)
+            if state.confirmed and not state.waiting:
+                return outcome.Success(state)
+            if self._clock.now_ms >= deadline_ms:
+                return outcome.Failure(
+                    codes.ResultCode.NOT_CONFIRMED,
+                    f'version {version} is accepted, but not in force on: '
+                    + (', '.join(state.waiting) or 'any host'),
+                )
+            await self._clock.sleep_ms(CONFIRM_PAUSE_MS)
+
+    async def _change(
+        self,
+        request: ChangeRequest,
+        action: str,
+        edit: _Edit,
+        base_version: int | None,
+        may_repeat: bool,
+    ) -> outcome.Success[Accepted] | outcome.Failure:
+        for attempt in range(1, MAX_EDIT_ATTEMPTS + 1):
+            # An identifier is bound to one commit, so that the rows tell
+            # what became of each commit.
+            numbered = request
+            if attempt > 1:
+                change_id = f'{request.change_id}.{attempt}'
+                numbered = dataclasses.replace(request, change_id=change_id)
+            result = await self._attempt(numbered, action, edit, base_version)
+            if isinstance(result, outcome.Success):
+                return result
+            in_conflict = result.code is codes.ResultCode.CONFLICT
+            if not (
+                (may_repeat and in_conflict)
+                or (result is _committing.LOST and attempt < MAX_LOST_ATTEMPTS)
+            ):
+                break
+            await self._clock.sleep_ms(
+                secrets.randbelow(_EDIT_PAUSE_MS * attempt)
+            )
+        assert isinstance(result, outcome.Failure)
+        return await self._refuse(numbered, action, base_version, result)
+
+    async def _attempt(
+        self,
+        request: ChangeRequest,
+        action: str,
+        edit: _Edit,
+        base_version: int | None,
+    ) -> outcome.Success[Accepted] | outcome.Failure:
+        head = await _reading.read_head(self._platform)
+        if isinstance(head, outcome.Failure):
+            return head
+        base = head.value
+        if base_version is not None and base.value.version != base_version:
+            compared = heads.ConfigHead(base_version, '')
+            return await self._writer.explain_conflict(
+                _reading.Head(interface.ABSENT, compared)
+            )
+        before = await self._read_base(base.value)
+        if isinstance(before, outcome.Failure):
+            return before
+        after = edit(before.value)
+        if isinstance(after, outcome.Failure):
+            return after
+        if heads.encode_document(after.value) == heads.encode_document(
+            before.value
+        ):
+            return outcome.Success(Accepted(base.value.version, '', False))
+        checked = check.check_document(after.value)
+        if isinstance(checked, outcome.Failure):
+            return checked
+        change = _committing.Change(
+            request.change_id,
+            request.operator,
+            action,
+            base,
+            before.value,
+            after.value,
+        )
+        written = await self._writer.write(change)
+        if isinstance(written, outcome.Failure):
+            return written
+        self._on_accepted(change, checked.value)
+        return outcome.Success(
+            Accepted(written.value, request.change_id, True)
+        )
+
+    async def _read_base(
+        self, head: heads.ConfigHead
+    ) -> outcome.Success[merge.Document] | outcome.Failure:
+        current = self._daemon.current
+        if current is not None and (current.version, current.change_id) == (
+            head.version,
+            head.change_id,
+        ):
+            return outcome.Success(current.document)
+        return await _reading.read_document(self._platform, head)
+
+    def _on_accepted(
+        self, change: _committing.Change, config: model.SteeringConfig
+    ) -> None:
+        _LOG.info(
+            'version %d accepted: %s by %s, change %s',
+            change.version,
+            change.action,
+            change.operator,
+            change.change_id,
+        )
+        self._daemon.on_accepted(
+            model.VersionedConfig(
+                change.version, change.change_id, config, change.after
+            )
+        )
+
+    async def _refuse(
+        self,
+        request: ChangeRequest,
+        action: str,
+        base_version: int | None,
+        failure: outcome.Failure,
+    ) -> outcome.Failure:
+        _LOG.warning(
+            '%s by %s refused: %s',
+            action,
+            request.operator,
+            failure.detail,
+            extra={'code': int(failure.code)},
+        )
+        # A platform that is down cannot record the refusal, and the row of
+        # an undecided change must not be written here.
+        if failure.code not in (
+            codes.ResultCode.PLATFORM_UNAVAILABLE,
+            codes.ResultCode.PLATFORM_UNKNOWN,
+        ):
+            await self._writer.refuse(
+                request.change_id,
+                request.operator,
+                action,
+                base_version or 0,
+                failure,
+            )
+        return failure
+
+
+def _unknown_name(name: str) -> outcome.Failure:
+    return outcome.Failure(
+        codes.ResultCode.UNKNOWN_NAME,
+        f'the configuration has no host or target {name!r}',
+    )
--- /dev/null
+++ b/wigeonhatch/operators/wire.py
@@ -0,0 +1,71 @@
+"""Messages between the operators' commands and interface."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+CHANGE_ID_PATTERN = r'[0-9A-Za-z]{8,64}'
+MAX_BODY_BYTES = 48_000_000
+"""A folder of the largest size, in base64, with its file names."""
+MAX_BODY_MS = 10_000
+MAX_HANDLING_MS = 30_000
+MAX_CONFIRM_WAIT_MS = 5_000
+APPLY_PATH = '/v1/apply'
+DRAIN_PATH = '/v1/drain'
+UNDRAIN_PATH = '/v1/undrain'
+CONFIG_PATH = '/v1/config'
+STATUS_PATH = '/v1/status'
+AUDIT_PATH = '/v1/audit'
+CHANGE_PATH = '/v1/change'
+CONFIRMATION_PATH = '/v1/confirmation'
+METRICS_PATH = '/metrics'
+
+
+@dataclasses.dataclass(frozen=True)
+class ApplyBody:
+    """Body of `POST /v1/apply`.
+
+    Args:
+        change_id: Drawn by the command, 8 to 64 letters and digits.
+        operator: Name for the audit trail.
+        files: Content of each file.
+        base_version: Version that the files were compared with, if any.
+    """
+
+    change_id: str
+    operator: str
+    files: dict[str, bytes]
+    base_version: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class DrainBody:
+    """Body of `POST /v1/drain` and `POST /v1/undrain`."""
+
+    change_id: str
+    operator: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """Body of every response except the metrics.
+
+    Args:
+        code: Number of the result code.
+        name: Name of the result code.
+        ran: Whether the request took effect.
+        retryable: Whether the same request may be sent again.
+        detail: Explanation for a person; empty on success.
+        request_id: Identifies the request in the log.
+        value: Result on success.
+    """
+
+    code: int
+    name: str
+    ran: str
+    retryable: bool
+    detail: str
+    request_id: str
+    value: typing.Any = None
--- a/wigeonhatch/settings.py
+++ b/wigeonhatch/settings.py
@@ -129,9 +129,10 @@
     """
     try:
         content = pathlib.Path(path).read_bytes()
-    except OSError as error:
+    except (OSError, ValueError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
         return outcome.Failure(
-            codes.ResultCode.SETTINGS_INVALID, f'{path}: {error.strerror}'
+            codes.ResultCode.SETTINGS_INVALID, f'{path}: {reason}'
         )
     try:
         settings = pydantic.TypeAdapter(Settings).validate_json(content)
@@ -152,19 +153,42 @@
     Returns:
         The credential, or `SETTINGS_INVALID` if there is none.
     """
-    if settings.credential_file:
+    return read_credential_from(settings.credential_file)
+
+
+def read_credential_from(
+    path: str,
+) -> outcome.Success[str] | outcome.Failure:
+    """Read a credential from a file or the environment.
+
+    Args:
+        path: File; the environment variable WIGEONHATCH_CREDENTIAL if empty.
+
+    Returns:
+        The credential, or `SETTINGS_INVALID` if there is none or it has
+        characters that an HTTP header cannot carry.
+    """
+    if path:
         try:
-            text = pathlib.Path(settings.credential_file).read_text()
-        except OSError as error:
+            text = pathlib.Path(path).read_text()
+        except (OSError, ValueError) as error:
+            reason = getattr(error, 'strerror', None) or 'not readable'
             return outcome.Failure(
                 codes.ResultCode.SETTINGS_INVALID,
-                f'credential_file: {error.strerror}',
+                f'credential_file: {reason}',
             )
     else:
         text = os.environ.get(CREDENTIAL_VARIABLE, '')
-    if not text.strip():
+    text = text.strip()
+    if not text:
         return outcome.Failure(
             codes.ResultCode.SETTINGS_INVALID,
             f'no credential: set credential_file or {CREDENTIAL_VARIABLE}',
         )
-    return outcome.Success(text.strip())
+    if not text.isascii() or not text.isprintable() or ' ' in text:
+        return outcome.Failure(
+            codes.ResultCode.SETTINGS_INVALID,
+            'the credential has other characters than printable ASCII '
+            'without spaces',
+        )
+    return outcome.Success(text)
