Add the host-to-host protocol

Cause: hosts need one view of the configuration, of each other and of drains without a consensus group.

Change: channels with a credential and a 3 s limit on silence, a server that checks the credential of each call, membership by (incarnation, sequence) with heartbeats in compact digests, drains by source, the state exchange, the store and the spread of the configuration, the pollers of the platform, and the start without any state. node.PeerNode wires them.

The messages of Exchange changed: digests are parallel arrays with a hash of (host, incarnation), a heartbeat and its age, so that a host without changes costs about 13 bytes per message instead of its record; drains by health are statements with a count, so that one observer's restart does not end a drain; the leaving names carry the list version.

Ruled out: the keepalive timeout of grpclib. It closes the transport politely, which waits for unsent data, so that a call with a full buffer never ends on a silent connection; channels abort the transport instead. Ruled out: incarnations without order. A restarted host would lose against its own old record half of the time, so the upper bits are the wall time and a starting host raises its number above any known one.

--- /dev/null
+++ b/wigeonhatch/peers/config_spread.py
@@ -0,0 +1,170 @@
+"""Spread of the configuration between hosts."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import anyio
+import anyio.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.config import model
+from wigeonhatch.peers import channels as peer_channels
+from wigeonhatch.peers import config_store
+from wigeonhatch.peers import cost as costs
+from wigeonhatch.peers import partners as peer_partners
+from wigeonhatch.peers import peers_pb2
+
+_LOG = logging.getLogger(__name__)
+FANOUT = 4
+_CALL_SECONDS = 1.0
+_MIN_DELAY_MS = 1
+_MAX_DELAY_MS = 5
+
+
+class ConfigSpread:
+    """Pushes new configurations to peers and fetches missing ones.
+
+    Args:
+        store: Configuration in force.
+        channels: Channels to the peers.
+        partners: Choice of peers.
+        clock: Clock of the host.
+        rng: Source of randomness.
+        cost: Counters of control messages.
+    """
+
+    def __init__(
+        self,
+        store: config_store.ConfigStore,
+        channels: peer_channels.PeerChannels,
+        partners: peer_partners.Partners,
+        clock: clocks.Clock,
+        rng: random.Random,
+        cost: costs.ControlCost,
+    ) -> None:
+        self._store = store
+        self._channels = channels
+        self._partners = partners
+        self._clock = clock
+        self._rng = rng
+        self._cost = cost
+        self._changed = anyio.Event()
+        self._before = 0
+        self._is_fetching = False
+        store.subscribe(self._on_change)
+
+    async def run(self) -> None:
+        """Push each new configuration once, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._changed.wait()
+                # The delay lets versions that arrive together go together.
+                await self._clock.sleep_ms(
+                    self._rng.randint(_MIN_DELAY_MS, _MAX_DELAY_MS)
+                )
+                self._changed = anyio.Event()
+                base_version = self._before
+                self._before = self._store.version
+                for host in self._partners.choose(FANOUT):
+                    group.start_soon(self.push, host, base_version)
+
+    async def push(self, host: str, base_version: int) -> None:
+        """Send the configuration in force to a peer.
+
+        Args:
+            host: Name of the peer.
+            base_version: Version that the peer is expected to hold; if it
+                holds another one, a second message suits that one.
+        """
+        for _ in range(2):
+            update = self._store.make_update(base_version)
+            stub = self._channels.stub(host)
+            if stub is None or not update.version:
+                return
+            self._cost.calls_sent += 1
+            self._cost.bytes_sent += update.ByteSize()
+            try:
+                ack = await stub.PushConfig(update, timeout=_CALL_SECONDS)
+            except peer_channels.PEER_ERRORS as error:
+                self._cost.calls_failed += 1
+                _LOG.debug('push to host %s failed: %s', host, error)
+                return
+            self._cost.bytes_received += ack.ByteSize()
+            if ack.version > self._store.version:
+                await self.fetch(host)
+                return
+            if ack.version >= update.version:
+                return
+            base_version = ack.version
+
+    async def fetch(self, host: str) -> None:
+        """Fetch what is newer from a peer, unless a fetch is in progress.
+
+        Args:
+            host: Name of the peer.
+        """
+        stub = self._channels.stub(host)
+        if self._is_fetching or stub is None:
+            return
+        self._is_fetching = True
+        try:
+            # A diff that does not apply is followed by the document.
+            for base_version in (self._store.version, 0):
+                request = peers_pb2.FetchConfigRequest(version=base_version)
+                self._cost.calls_sent += 1
+                self._cost.bytes_sent += request.ByteSize()
+                update = await stub.FetchConfig(request, timeout=_CALL_SECONDS)
+                self._cost.bytes_received += update.ByteSize()
+                accepted = self._accept(update)
+                if (
+                    isinstance(accepted, outcome.Success)
+                    or accepted.code is not codes.ResultCode.CONFLICT
+                ):
+                    return
+        except peer_channels.PEER_ERRORS as error:
+            self._cost.calls_failed += 1
+            _LOG.debug('fetch from host %s failed: %s', host, error)
+        finally:
+            self._is_fetching = False
+
+    def on_push(self, update: peers_pb2.ConfigUpdate) -> peers_pb2.ConfigAck:
+        """Handle `PushConfig`."""
+        self._cost.calls_received += 1
+        self._cost.bytes_received += update.ByteSize()
+        self._accept(update)
+        ack = peers_pb2.ConfigAck(version=self._store.version)
+        self._cost.bytes_sent += ack.ByteSize()
+        return ack
+
+    def on_fetch(
+        self, request: peers_pb2.FetchConfigRequest
+    ) -> peers_pb2.ConfigUpdate:
+        """Handle `FetchConfig`."""
+        self._cost.calls_received += 1
+        self._cost.bytes_received += request.ByteSize()
+        update = self._store.make_update(request.version)
+        self._cost.bytes_sent += update.ByteSize()
+        return update
+
+    def _accept(
+        self, update: peers_pb2.ConfigUpdate
+    ) -> outcome.Success[bool] | outcome.Failure:
+        accepted = self._store.accept(update)
+        if (
+            isinstance(accepted, outcome.Failure)
+            and accepted.code is not codes.ResultCode.CONFLICT
+        ):
+            _LOG.error(
+                'version %d from a peer is invalid: %s',
+                update.version,
+                accepted.detail,
+            )
+        return accepted
+
+    def _on_change(self, versioned: model.VersionedConfig) -> None:
+        del versioned
+        self._changed.set()
--- /dev/null
+++ b/wigeonhatch/peers/exchange.py
@@ -0,0 +1,290 @@
+"""State exchange between hosts."""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+import random
+
+import anyio
+import anyio.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.peers import channels as peer_channels
+from wigeonhatch.peers import config_spread
+from wigeonhatch.peers import config_store
+from wigeonhatch.peers import cost as costs
+from wigeonhatch.peers import drains as peer_drains
+from wigeonhatch.peers import membership as members
+from wigeonhatch.peers import partners as peer_partners
+from wigeonhatch.peers import peers_grpc
+from wigeonhatch.peers import peers_pb2
+from wigeonhatch.peers import split_store
+
+INTERVAL_MS = 500
+PARTNER_COUNT = 2
+_JITTER_MS = 50
+_CALL_SECONDS = 1.0
+_MIN_DELAY_MS = 1
+_MAX_DELAY_MS = 5
+# A change is sent along with each call for this time, so that it spreads
+# without a comparison first.
+_RECENT_MS = 1_000
+_MAX_RECORD_BYTES = 32_768
+_MAX_SPLIT_BYTES = 16_384
+_MAX_RECENT_RECORDS = 64
+_MAX_DRAINS = 1_024
+_LOG = logging.getLogger(__name__)
+
+
+class StateExchange:
+    """Exchanges records, drains and splits with random peers.
+
+    Args:
+        membership: Records and drains.
+        store: Configuration in force.
+        splits: Newest splits.
+        spread: Spread of the configuration.
+        channels: Channels to the peers.
+        partners: Choice of peers.
+        clock: Clock of the host.
+        rng: Source of randomness.
+        cost: Counters of control messages.
+    """
+
+    def __init__(
+        self,
+        membership: members.Membership,
+        store: config_store.ConfigStore,
+        splits: split_store.SplitStore,
+        spread: config_spread.ConfigSpread,
+        channels: peer_channels.PeerChannels,
+        partners: peer_partners.Partners,
+        clock: clocks.Clock,
+        rng: random.Random,
+        cost: costs.ControlCost,
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._splits = splits
+        self._spread = spread
+        self._channels = channels
+        self._partners = partners
+        self._clock = clock
+        self._rng = rng
+        self._cost = cost
+        self._changed = anyio.Event()
+        self._busy_hosts: set[str] = set()
+        membership.subscribe(self._on_change)
+        splits.subscribe(self._on_change)
+
+    async def run(self) -> None:
+        """Exchange state until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._push_changes, group)
+            while True:
+                self._membership.announce()
+                for host in self._partners.choose(PARTNER_COUNT):
+                    group.start_soon(self.exchange_with, host)
+                await self._clock.sleep_ms(
+                    INTERVAL_MS + self._rng.randint(-_JITTER_MS, _JITTER_MS)
+                )
+
+    async def _push_changes(self, group: anyio.abc.TaskGroup) -> None:
+        while True:
+            await self._changed.wait()
+            await self._clock.sleep_ms(
+                self._rng.randint(_MIN_DELAY_MS, _MAX_DELAY_MS)
+            )
+            self._changed = anyio.Event()
+            self._membership.announce()
+            for host in self._partners.choose(config_spread.FANOUT):
+                group.start_soon(self.exchange_with, host, True)
+
+    async def exchange_with(self, host: str, is_push: bool = False) -> None:
+        """Exchange state with one peer.
+
+        Args:
+            host: Name of the peer.
+            is_push: Also call if a call to the peer is in progress.
+        """
+        stub = self._channels.stub(host)
+        if stub is None or (host in self._busy_hosts and not is_push):
+            return
+        self._busy_hosts.add(host)
+        try:
+            reply = await self._call(stub, self._make_request())
+            follow_up = self._on_reply(reply)
+            if follow_up is not None:
+                reply = await self._call(stub, follow_up)
+                self._on_reply(reply)
+        except peer_channels.PEER_ERRORS as error:
+            self._cost.calls_failed += 1
+            _LOG.debug('exchange with host %s failed: %s', host, error)
+            return
+        finally:
+            self._busy_hosts.discard(host)
+        if reply.config_version > self._store.version:
+            await self._spread.fetch(host)
+        elif reply.config_version < self._store.version:
+            await self._spread.push(host, reply.config_version)
+
+    def on_exchange(
+        self, request: peers_pb2.ExchangeRequest
+    ) -> peers_pb2.ExchangeReply:
+        """Handle `Exchange`."""
+        self._cost.calls_received += 1
+        self._cost.bytes_received += request.ByteSize()
+        membership = self._membership
+        sender = request.sender
+        membership.on_records([sender, *request.records])
+        membership.on_heartbeat(
+            sender.host, sender.incarnation, request.sender_heartbeat
+        )
+        membership.on_digests(request.digests)
+        self._take(request.drains, request.leaving, request.splits)
+        newer, digests = membership.compare(
+            request.digests, request.is_partial, _MAX_RECORD_BYTES
+        )
+        reply = peers_pb2.ExchangeReply(
+            records=newer,
+            digests=digests,
+            config_version=self._store.version,
+            list_version=membership.drains.leaving.version,
+            drains_hash=membership.drains.statements_hash,
+            leaving=self._leaving_after(request.list_version),
+            splits_hash=self._splits.versions_hash,
+            splits=self._splits.encode(
+                request.wanted_splits, _MAX_SPLIT_BYTES
+            ),
+        )
+        if request.drains_hash != reply.drains_hash:
+            reply.drains.extend(self._sample_drains())
+        if request.splits_hash != reply.splits_hash:
+            reply.split_digests.extend(self._splits.digests())
+        self._cost.bytes_sent += reply.ByteSize()
+        return reply
+
+    def _make_request(self) -> peers_pb2.ExchangeRequest:
+        membership = self._membership
+        since_ms = self._clock.now_ms - _RECENT_MS
+        digests, is_partial = membership.make_digests(self._rng)
+        leaving = membership.drains.recent_leaving(since_ms)
+        return peers_pb2.ExchangeRequest(
+            sender=membership.own_message,
+            sender_heartbeat=membership.own_heartbeat,
+            digests=digests,
+            is_partial=is_partial,
+            config_version=self._store.version,
+            list_version=membership.drains.leaving.version,
+            drains_hash=membership.drains.statements_hash,
+            splits_hash=self._splits.versions_hash,
+            records=membership.recent_messages(since_ms)[:_MAX_RECENT_RECORDS],
+            drains=_encode_drains(
+                membership.drains.recent_statements(since_ms)
+            ),
+            leaving=None if leaving is None else _encode_leaving(leaving),
+            splits=self._splits.encode(
+                self._splits.recent_services(since_ms), _MAX_SPLIT_BYTES
+            ),
+        )
+
+    def _on_reply(
+        self, reply: peers_pb2.ExchangeReply
+    ) -> peers_pb2.ExchangeRequest | None:
+        """Take a reply and return a second request if one is needed."""
+        membership = self._membership
+        membership.on_records(reply.records)
+        membership.on_digests(reply.digests)
+        self._take(reply.drains, reply.leaving, reply.splits)
+        wanted: list[str] = []
+        offered: list[str] = []
+        if reply.splits_hash != self._splits.versions_hash:
+            wanted, offered = self._splits.compare(reply.split_digests)
+        drains: list[peers_pb2.TargetDrain] = []
+        if reply.drains_hash != membership.drains.statements_hash:
+            drains = self._sample_drains()
+        leaving = self._leaving_after(reply.list_version)
+        if not (wanted or offered or drains or leaving):
+            return None
+        return peers_pb2.ExchangeRequest(
+            sender=membership.own_message,
+            sender_heartbeat=membership.own_heartbeat,
+            is_partial=True,
+            config_version=self._store.version,
+            list_version=membership.drains.leaving.version,
+            drains_hash=membership.drains.statements_hash,
+            splits_hash=self._splits.versions_hash,
+            drains=drains,
+            leaving=leaving,
+            splits=self._splits.encode(offered, _MAX_SPLIT_BYTES),
+            wanted_splits=wanted,
+        )
+
+    def _take(
+        self,
+        drains: collections.abc.Iterable[peers_pb2.TargetDrain],
+        leaving: peers_pb2.LeavingList,
+        splits: collections.abc.Iterable[peers_pb2.Split],
+    ) -> None:
+        statements = [
+            peer_drains.TargetDrain(
+                drain.target, drain.count, drain.observer, drain.draining
+            )
+            for drain in drains
+        ]
+        if statements:
+            self._membership.on_drains(statements)
+        if leaving.version:
+            self._membership.on_leaving(
+                peer_drains.LeavingList(
+                    leaving.version, frozenset(leaving.names)
+                )
+            )
+        self._splits.offer_messages(splits)
+
+    def _sample_drains(self) -> list[peers_pb2.TargetDrain]:
+        statements = list(self._membership.drains.statements)
+        if len(statements) > _MAX_DRAINS:
+            statements = self._rng.sample(statements, _MAX_DRAINS)
+        return _encode_drains(statements)
+
+    async def _call(
+        self,
+        stub: peers_grpc.PeersStub,
+        request: peers_pb2.ExchangeRequest,
+    ) -> peers_pb2.ExchangeReply:
+        self._cost.calls_sent += 1
+        self._cost.bytes_sent += request.ByteSize()
+        reply: peers_pb2.ExchangeReply = await stub.Exchange(
+            request, timeout=_CALL_SECONDS
+        )
+        self._cost.bytes_received += reply.ByteSize()
+        return reply
+
+    def _leaving_after(self, version: int) -> peers_pb2.LeavingList | None:
+        leaving = self._membership.drains.leaving
+        return _encode_leaving(leaving) if leaving.version > version else None
+
+    def _on_change(self) -> None:
+        self._changed.set()
+
+
+def _encode_drains(
+    statements: collections.abc.Iterable[peer_drains.TargetDrain],
+) -> list[peers_pb2.TargetDrain]:
+    return [
+        peers_pb2.TargetDrain(
+            target=drain.target,
+            count=drain.count,
+            observer=drain.observer,
+            draining=drain.draining,
+        )
+        for drain in statements
+    ]
+
+
+def _encode_leaving(leaving: peer_drains.LeavingList) -> peers_pb2.LeavingList:
+    return peers_pb2.LeavingList(
+        version=leaving.version, names=sorted(leaving.names)
+    )
--- /dev/null
+++ b/wigeonhatch/peers/node.py
@@ -0,0 +1,186 @@
+"""Wiring of the host-to-host protocol for one daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import random
+
+import anyio
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.config import model
+from wigeonhatch.peers import channels as peer_channels
+from wigeonhatch.peers import config_spread
+from wigeonhatch.peers import config_store
+from wigeonhatch.peers import cost as costs
+from wigeonhatch.peers import exchange as state_exchange
+from wigeonhatch.peers import membership as members
+from wigeonhatch.peers import partners as peer_partners
+from wigeonhatch.peers import peers_pb2
+from wigeonhatch.peers import platform_source
+from wigeonhatch.peers import poller as platform_poller
+from wigeonhatch.peers import server as peer_server
+from wigeonhatch.peers import split_store
+from wigeonhatch.peers import startup
+from wigeonhatch.platform import interface
+from wigeonhatch.steering import split as splits
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeIdentity:
+    """What distinguishes one daemon.
+
+    Args:
+        host: Name of the host.
+        domain: Failure domain of the host.
+        peer_address: `IP:PORT` to listen on for peers.
+        credential: Credential shared by all hosts.
+        seeds: Peer addresses to ask at start.
+    """
+
+    host: str
+    domain: str
+    peer_address: str
+    credential: str
+    seeds: collections.abc.Sequence[str] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeHooks:
+    """Functions of other packages that the protocol calls.
+
+    Args:
+        renew_lease: Answers `RenewLease`.
+        forward: Answers `Forward`.
+        offer_split: Receives each newer split.
+        decode_split: Decodes the rows of splits.
+        check_document: Checks a complete document.
+        on_host_list: Receives each newer host list that this host polls.
+    """
+
+    renew_lease: collections.abc.Callable[
+        [peers_pb2.LeaseRequest],
+        collections.abc.Awaitable[peers_pb2.LeaseReply],
+    ]
+    forward: collections.abc.Callable[
+        [peer_server.ForwardStream], collections.abc.Awaitable[None]
+    ]
+    offer_split: collections.abc.Callable[[splits.StoredSplit], None]
+    decode_split: platform_source.DecodeSplit
+    check_document: config_store.CheckDocument = config_store.parse_document
+    on_host_list: collections.abc.Callable[[interface.HostList], None] = (
+        lambda hosts: None
+    )
+
+
+class PeerNode:
+    """All parts of the host-to-host protocol of one daemon.
+
+    `run` must be running before `start_up` is called. `start_up` returns once
+    there is a configuration; until then the host is not ready, and
+    `membership.incarnation` may still rise.
+
+    Args:
+        identity: What distinguishes the daemon.
+        hooks: Functions of other packages.
+        platform: Client of the platform.
+        clock: Clock of the host.
+        rng: Source of randomness; seeded by the system if None.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        hooks: NodeHooks,
+        platform: interface.Platform,
+        clock: clocks.Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        rng = rng or random.Random()
+        self._identity = identity
+        self.cost = costs.ControlCost()
+        self.membership = members.Membership(identity.host, clock)
+        self.channels = peer_channels.PeerChannels(
+            identity.host, identity.credential, clock
+        )
+        self.store = config_store.ConfigStore(hooks.check_document)
+        self.store.subscribe(self.membership.configure)
+        self.store.subscribe(self.channels.configure)
+        self.splits = split_store.SplitStore(clock, hooks.offer_split)
+        partners = peer_partners.Partners(
+            identity.host, lambda: self.channels.hosts, rng
+        )
+        self.spread = config_spread.ConfigSpread(
+            self.store, self.channels, partners, clock, rng, self.cost
+        )
+        self.exchange = state_exchange.StateExchange(
+            self.membership,
+            self.store,
+            self.splits,
+            self.spread,
+            self.channels,
+            partners,
+            clock,
+            rng,
+            self.cost,
+        )
+        source = platform_source.PlatformSource(
+            platform, self.splits, hooks.decode_split, self.cost
+        )
+        self.poller = platform_poller.PlatformPoller(
+            identity.domain,
+            self.membership,
+            self.store,
+            source,
+            clock,
+            rng,
+            hooks.on_host_list,
+        )
+        self.server = peer_server.PeerServer(
+            identity.credential,
+            peer_server.PeerHandlers(
+                self.exchange.on_exchange,
+                self.spread.on_push,
+                self.spread.on_fetch,
+                hooks.renew_lease,
+                hooks.forward,
+            ),
+            clock,
+        )
+        self._startup = startup.Startup(
+            self.membership,
+            self.store,
+            source,
+            self.channels,
+            identity.seeds,
+            clock,
+            rng,
+        )
+
+    async def start_up(self) -> model.VersionedConfig:
+        """Wait for the first configuration.
+
+        Returns:
+            The newest configuration that the platform and peers know.
+        """
+        return await self._startup.run()
+
+    async def run(
+        self,
+        on_started: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Run until cancelled.
+
+        Args:
+            on_started: Called once peers can connect.
+
+        Raises:
+            OSError: The peer address is in use or does not exist.
+        """
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.channels.run)
+            group.start_soon(self.spread.run)
+            group.start_soon(self.exchange.run)
+            group.start_soon(self.poller.run)
+            await self.server.run(self._identity.peer_address, on_started)
--- /dev/null
+++ b/wigeonhatch/peers/platform_source.py
@@ -0,0 +1,185 @@
+"""Configuration, splits and host list as read from the platform."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import hashlib
+import logging
+
+import msgspec
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.config import delta as deltas
+from wigeonhatch.peers import cost as costs
+from wigeonhatch.peers import split_store
+from wigeonhatch.platform import interface
+from wigeonhatch.steering import split as splits
+
+_LOG = logging.getLogger(__name__)
+HEAD_KEY = 'config/head'
+OBJECT_PREFIX = 'config/'
+SPLIT_PREFIX = 'split/'
+
+DecodeSplit = collections.abc.Callable[
+    [bytes, int], outcome.Success[splits.StoredSplit] | outcome.Failure
+]
+"""Decodes the value and the version of a row `split/SERVICE`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredHead:
+    """Value of the row `config/head`.
+
+    Args:
+        version: Version of the configuration.
+        change_id: Change that made it; names the object.
+        digest: SHA-256 of the object, in hexadecimal.
+    """
+
+    version: int
+    change_id: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredDocument:
+    """Document of a version, as stored by the platform."""
+
+    version: int
+    change_id: str
+    document: deltas.Document
+
+
+class PlatformSource:
+    """Reads of the platform that every host makes.
+
+    Args:
+        platform: Client of the platform.
+        splits: Receives the splits.
+        decode_split: Decodes the rows of splits.
+        cost: Counters of control messages.
+    """
+
+    def __init__(
+        self,
+        platform: interface.Platform,
+        splits: split_store.SplitStore,
+        decode_split: DecodeSplit,
+        cost: costs.ControlCost,
+    ) -> None:
+        self._platform = platform
+        self._splits = splits
+        self._decode_split = decode_split
+        self._cost = cost
+
+    async def read_head(
+        self,
+    ) -> outcome.Success[StoredHead | None] | outcome.Failure:
+        """Read the head, possibly a stale one.
+
+        Returns:
+            The head, None if there is none, or `PLATFORM_UNAVAILABLE`.
+        """
+        self._cost.platform_reads += 1
+        result = await self._platform.read([HEAD_KEY])
+        if isinstance(result, interface.Unavailable):
+            return _unavailable(result.detail)
+        return _decode_head(result.row_by_key.get(HEAD_KEY))
+
+    async def read_head_now(
+        self,
+    ) -> outcome.Success[StoredHead | None] | outcome.Failure:
+        """Read the head and validate it by a commit without writes.
+
+        Returns:
+            The head at a time after the call, None if there is none, or
+            `PLATFORM_UNAVAILABLE`.
+        """
+        self._cost.platform_reads += 1
+        result = await self._platform.read([HEAD_KEY])
+        if isinstance(result, interface.Unavailable):
+            return _unavailable(result.detail)
+        row = result.row_by_key.get(HEAD_KEY)
+        version = interface.ABSENT if row is None else row.version
+        validated = await self._platform.commit(
+            [interface.Check(HEAD_KEY, version)], []
+        )
+        if isinstance(validated, interface.Conflict):
+            return _decode_head(validated.row_by_key.get(HEAD_KEY))
+        if not isinstance(validated, interface.Committed):
+            return _unavailable(validated.detail)
+        return _decode_head(row)
+
+    async def read_document(
+        self, head: StoredHead
+    ) -> outcome.Success[StoredDocument] | outcome.Failure:
+        """Read and verify the document of a head.
+
+        Returns:
+            The document, `PLATFORM_UNAVAILABLE`, or `CONFIG_INVALID` if the
+            content differs from the digest.
+        """
+        self._cost.platform_reads += 1
+        name = OBJECT_PREFIX + head.change_id
+        content = await self._platform.get_object(name)
+        if content is None:
+            return _unavailable(f'object {name} does not exist')
+        if isinstance(content, interface.Unavailable):
+            return _unavailable(content.detail)
+        if head.digest and (
+            hashlib.sha256(content).hexdigest() != head.digest
+        ):
+            return outcome.Failure(
+                codes.ResultCode.CONFIG_INVALID,
+                f'object {name} differs from the digest of the head',
+            )
+        return outcome.Success(
+            StoredDocument(
+                head.version, head.change_id, msgspec.json.decode(content)
+            )
+        )
+
+    async def read_splits(self) -> bool:
+        """Read all rows of splits and offer them.
+
+        Returns:
+            False if the platform is unavailable.
+        """
+        self._cost.platform_reads += 1
+        result = await self._platform.scan(SPLIT_PREFIX)
+        if isinstance(result, interface.Unavailable):
+            return False
+        decoded: list[splits.StoredSplit] = []
+        for row in result.row_by_key.values():
+            split = self._decode_split(row.value, row.version)
+            if isinstance(split, outcome.Failure):
+                _LOG.error('row %s: %s', row.key, split.detail)
+            else:
+                decoded.append(split.value)
+        self._splits.offer(decoded)
+        return True
+
+    async def list_hosts(self) -> interface.HostList | None:
+        """Read the host list; None if the platform is unavailable."""
+        self._cost.platform_reads += 1
+        result = await self._platform.list_hosts()
+        return None if isinstance(result, interface.Unavailable) else result
+
+
+def _unavailable(detail: str) -> outcome.Failure:
+    return outcome.Failure(codes.ResultCode.PLATFORM_UNAVAILABLE, detail)
+
+
+def _decode_head(
+    row: interface.Row | None,
+) -> outcome.Success[StoredHead | None] | outcome.Failure:
+    if row is None:
+        return outcome.Success(None)
+    try:
+        return outcome.Success(msgspec.json.decode(row.value, type=StoredHead))
+    except msgspec.MsgspecError as error:
+        return outcome.Failure(
+            codes.ResultCode.CONFIG_INVALID, f'row {HEAD_KEY}: {error}'
+        )
--- /dev/null
+++ b/wigeonhatch/peers/poller.py
@@ -0,0 +1,132 @@
+"""Polls of the platform by the first hosts of each failure domain."""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+import random
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import outcome
+from wigeonhatch.peers import config_store
+from wigeonhatch.peers import drains
+from wigeonhatch.peers import membership as members
+from wigeonhatch.peers import platform_source
+from wigeonhatch.platform import interface
+from wigeonhatch.steering import ownership
+
+POLLERS_PER_DOMAIN = 2
+INTERVAL_MS = 1_000
+_SPLIT_POLLS = 5
+"""Polls of the head for each scan of the splits."""
+_LOG = logging.getLogger(__name__)
+
+
+class PlatformPoller:
+    """Polls the platform while this host is one of its domain's pollers.
+
+    Args:
+        domain: Failure domain of this host.
+        membership: Records of the hosts.
+        store: Configuration in force.
+        source: Reads of the platform.
+        clock: Clock of the host.
+        rng: Source of randomness.
+        on_host_list: Called with each newer host list; must not block.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        membership: members.Membership,
+        store: config_store.ConfigStore,
+        source: platform_source.PlatformSource,
+        clock: clocks.Clock,
+        rng: random.Random,
+        on_host_list: collections.abc.Callable[
+            [interface.HostList], None
+        ] = lambda hosts: None,
+    ) -> None:
+        self._domain = domain
+        self._membership = membership
+        self._store = store
+        self._source = source
+        self._clock = clock
+        self._rng = rng
+        self._on_host_list = on_host_list
+        self._list_version = 0
+
+    @property
+    def is_poller(self) -> bool:
+        """Whether this host polls; true for the first reachable hosts."""
+        current = self._store.current
+        if current is None:
+            # A plain read may be stale, so it cannot be the first version.
+            return False
+        names = [
+            name
+            for name, host in current.config.host_by_name.items()
+            if host.domain == self._domain
+            and self._membership.is_reachable(name)
+        ]
+        first = ownership.rank(names, f'poller/{self._domain}')
+        return self._membership.host in first[:POLLERS_PER_DOMAIN]
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        # Pollers that start together must not poll at the same moment.
+        await self._clock.sleep_ms(self._rng.randrange(INTERVAL_MS))
+        poll = 0
+        while True:
+            if self.is_poller:
+                await self.poll(poll % _SPLIT_POLLS == 0)
+                poll += 1
+            await self._clock.sleep_ms(INTERVAL_MS)
+
+    async def poll(self, with_splits: bool) -> None:
+        """Read what changed.
+
+        Args:
+            with_splits: Whether to scan the splits as well.
+        """
+        head = await self._source.read_head()
+        if (
+            isinstance(head, outcome.Success)
+            and head.value is not None
+            and head.value.version > self._store.version
+        ):
+            await self._load(head.value)
+        hosts = await self._source.list_hosts()
+        if hosts is not None and hosts.version > self._list_version:
+            self._list_version = hosts.version
+            self._membership.on_leaving(leaving_of(hosts))
+            self._on_host_list(hosts)
+        if with_splits:
+            await self._source.read_splits()
+
+    async def _load(self, head: platform_source.StoredHead) -> None:
+        document = await self._source.read_document(head)
+        if isinstance(document, outcome.Success):
+            offered = self._store.offer_document(
+                document.value.version,
+                document.value.change_id,
+                document.value.document,
+            )
+            if isinstance(offered, outcome.Success):
+                return
+            document = offered
+        _LOG.error(
+            'version %d of the platform: %s', head.version, document.detail
+        )
+
+
+def leaving_of(hosts: interface.HostList) -> drains.LeavingList:
+    """Select the leaving names of a host list."""
+    return drains.LeavingList(
+        hosts.version,
+        frozenset(
+            name
+            for name, state in hosts.state_by_name.items()
+            if state is interface.HostState.LEAVING
+        ),
+    )
