--- a/wigeonhatch/steering/step_writer.py
+++ b/wigeonhatch/steering/step_writer.py
@@ -81,7 +81,9 @@
         platform: Table of the platform.
         clock: Clock of this host.
         get_config: Returns the configuration in force.
-        table: Splits known on this host; steps are offered to it.
+        table: Splits known on this host.
+        offer: Receives the splits that were read or committed; the table's
+            `offer` if None.
         new_id: Draws a change ID.
     """
 
@@ -92,6 +94,8 @@
         clock: clocks.Clock,
         get_config: collections.abc.Callable[[], model.VersionedConfig | None],
         table: split.SplitTable,
+        offer: collections.abc.Callable[[split.StoredSplit], None]
+        | None = None,
         new_id: collections.abc.Callable[[], str] = lambda: uuid.uuid4().hex,
     ) -> None:
         self.committed = 0
@@ -101,6 +105,7 @@
         self._clock = clock
         self._get_config = get_config
         self._table = table
+        self._offer = offer or table.offer
         self._new_id = new_id
         self._turn_by_service: dict[str, _Turn] = {}
         self._attempt_by_service: dict[str, split.StoredSplit] = {}
@@ -245,7 +250,7 @@
         if isinstance(result, interface.Committed):
             self._on_committed(planned)
             version = result.version_by_key[key]
-            self._table.offer(
+            self._offer(
                 dataclasses.replace(planned, row_version=version)
             )
         elif isinstance(result, interface.Conflict):
@@ -295,7 +300,7 @@
         if isinstance(decoded, outcome.Failure):
             _log.error('row %s: %s', row.key, decoded.detail)
             return None
-        self._table.offer(decoded.value)
+        self._offer(decoded.value)
         return decoded.value
 
 
