--- /dev/null
+++ b/tests/budget/test_lease.py
@@ -0,0 +1,342 @@
+"""Tests of leases and takeovers."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from tests.budget import build
+from tests.budget import fleet as fleet_module
+from wigeonhatch.budget import _rows
+from wigeonhatch.budget import lease
+from wigeonhatch.platform import interface
+
+DOMAINS = {'a': 'north1', 'b': 'north1', 'c': 'north1'}
+LIVE = interface.HostState.LIVE
+
+
+@pytest.fixture
+def fleet() -> fleet_module.Fleet:
+    """Three hosts of one domain that hold their leases."""
+    made = fleet_module.Fleet(DOMAINS, targets=12)
+    made.run(600)
+    assert all(host.holder.held for host in made.host_by_name.values())
+    return made
+
+
+def list_hosts(fleet, *names: str) -> None:
+    hosts = fleet.platform.set_hosts(dict.fromkeys(names, LIVE))
+    for host in fleet.host_by_name.values():
+        host.departures.on_host_list(hosts)
+
+
+def other_of(fleet, *names: str) -> str:
+    return next(name for name in DOMAINS if name not in names)
+
+
+def takeovers(fleet) -> dict[str, str]:
+    result = anyio.run(fleet.platform.scan, 'takeover/')
+    return {
+        key.removeprefix('takeover/'): _rows.decode(
+            row, _rows.TakeoverRow
+        ).holder
+        for key, row in result.row_by_key.items()
+    }
+
+
+def test_normal_operation_writes_nothing(fleet) -> None:
+    """Guards against a load on the table that grows with the hosts."""
+    fleet.run(10_000)
+    table = anyio.run(fleet.platform.scan, '')
+    assert table.row_by_key == {}
+    assert set(fleet.allowed(fleet.owned('a')).values()) == {0, 4}
+
+
+def test_platform_outage_changes_nothing(fleet) -> None:
+    """Guards against leases that end because the platform is down."""
+    for host in fleet.host_by_name.values():
+        host.platform.faults.down = True
+    fleet.run(10_000)
+    assert all(host.holder.held for host in fleet.host_by_name.values())
+
+
+def test_crash_transfers_leased_slots_and_return_transfers_back(
+    fleet,
+) -> None:
+    """Guards against lost or doubled slots around a crash."""
+    target = fleet.owned('a')
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash('a')
+    fleet.run(1_900)
+    assert fleet.allowed(target)[standby] == 0
+    fleet.run(1_000)
+    assert fleet.allowed(target)[standby] == 2
+    assert fleet.host_by_name[standby].grantor.acting_for == {'a'}
+    grant = fleet.admit(standby, target)
+    assert grant is not None
+    host = fleet.start('a')
+    fleet.run(3_000)
+    # The standby's own request still runs: the lease has to wait.
+    assert not host.holder.held
+    assert fleet.allowed(target)['a'] == 2
+    grant.release(fleet_module.slots.AttemptResult.SERVED, 1)
+    fleet.run(2_000)
+    assert host.holder.held
+    assert fleet.allowed(target) == {'a': 4, standby: 0} | {
+        other_of(fleet, 'a', standby): 0
+    }
+    assert takeovers(fleet) == {}
+
+
+def test_standby_crash_makes_the_owner_use_the_table(fleet) -> None:
+    """Guards against losing leased slots with the standby."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash(standby)
+    for _ in range(50):
+        fleet.run(100)
+        assert fleet.host_by_name['a'].holder.held
+    result = anyio.run(fleet.platform.scan, 'lease/')
+    assert 'lease/a' in result.row_by_key
+
+
+def test_isolated_owner_keeps_only_the_floor(fleet) -> None:
+    """Guards against use of leased slots without a lease."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.cut.add(frozenset(('a', standby)))
+    fleet.host_by_name['a'].platform.faults.down = True
+    fleet.run(2_500)
+    allowed = fleet.allowed(fleet.owned('a'))
+    assert (allowed['a'], allowed[standby]) == (2, 2)
+
+
+def test_table_lease_blocks_the_takeover(fleet) -> None:
+    """Guards against a standby that ignores the lease in the table."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.cut.add(frozenset(('a', standby)))
+    fleet.run(10_000)
+    assert fleet.host_by_name['a'].holder.held
+    assert takeovers(fleet) == {}
+
+
+@pytest.mark.parametrize('fault', ['lost_responses', 'dropped_writes'])
+def test_lost_response_of_the_lease_write(fleet, fault: str) -> None:
+    """Guards against a lease that blocks its own holder."""
+    standby = fleet.owners.standby_by_host['a']
+    setattr(fleet.host_by_name['a'].platform.faults, fault, 1)
+    fleet.cut.add(frozenset(('a', standby)))
+    fleet.run(3_000)
+    assert fleet.host_by_name['a'].holder.held
+    assert takeovers(fleet) == {}
+
+
+@pytest.mark.parametrize('fault', ['lost_responses', 'dropped_writes'])
+def test_lost_response_of_the_takeover_write(fleet, fault: str) -> None:
+    """Guards against a takeover that happened but is not used."""
+    standby = fleet.owners.standby_by_host['a']
+    setattr(fleet.host_by_name[standby].platform.faults, fault, 1)
+    fleet.crash('a')
+    fleet.run(4_000)
+    assert takeovers(fleet) == {'a': standby}
+    assert fleet.allowed(fleet.owned('a'))[standby] == 2
+
+
+@pytest.mark.parametrize('fault', ['lost_responses', 'dropped_writes'])
+def test_lost_response_of_the_return(fleet, fault: str) -> None:
+    """Guards against a returned takeover that blocks the lease."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash('a')
+    fleet.run(3_000)
+    setattr(fleet.host_by_name[standby].platform.faults, fault, 1)
+    host = fleet.start('a')
+    fleet.run(4_000)
+    assert host.holder.held
+    assert takeovers(fleet) == {}
+
+
+def test_paused_holder_resumes_without_slots(fleet) -> None:
+    """Guards against a holder that goes on as if no time had passed."""
+    target = fleet.owned('a')
+    standby = fleet.owners.standby_by_host['a']
+    host = fleet.host_by_name['a']
+    host.is_paused = True
+    fleet.run(5_000)
+    assert fleet.allowed(target)[standby] == 2
+    host.is_paused = False
+    assert fleet.allowed(target)['a'] == 0
+    fleet.run(4_000)
+    assert fleet.allowed(target) == {'a': 4, standby: 0} | {
+        other_of(fleet, 'a', standby): 0
+    }
+
+
+def test_paused_standby_grants_before_it_takes_over(fleet) -> None:
+    """Guards against a takeover from a healthy owner after a pause."""
+    standby = fleet.owners.standby_by_host['a']
+    paused = fleet.host_by_name[standby]
+    paused.is_paused = True
+    fleet.run(5_000)
+    paused.is_paused = False
+    fleet.run(3_000)
+    assert 'a' not in takeovers(fleet)
+
+
+def test_response_from_before_a_pause_is_ignored(fleet) -> None:
+    """Guards against an old response that ends the suspension."""
+    host = fleet.host_by_name['a']
+
+    async def renew(standby: str, release: bool):
+        fleet.clock.advance(5_000)
+        return lease.LeaseDecision(lease.LeaseStatus.GRANTED, 2_000)
+
+    host.holder._renew = renew
+    anyio.run(host.holder.step)
+    assert host.table.is_suspended
+    assert not host.holder.held
+
+
+def test_second_process_of_a_name_admits_nothing(fleet) -> None:
+    """Guards against two processes that use the slots of one host."""
+    old = fleet.host_by_name.pop('a')
+    new = fleet.start('a')
+    for index in range(20):
+        fleet.clock.advance(100)
+        for host in fleet.host_by_name.values():
+            anyio.run(host.grantor.step)
+        if index % 5 == 0:
+            anyio.run(old.holder.step)
+            anyio.run(new.holder.step)
+        target = fleet.owned('a')
+        assert old.table.allowance(target) == 4
+        assert new.table.allowance(target) == 0
+
+
+def test_listed_off_host_loses_the_floor(fleet) -> None:
+    """Guards against floor slots of a vanished host staying unused."""
+    target = fleet.owned('a')
+    standby = fleet.owners.standby_by_host['a']
+    list_hosts(fleet, *DOMAINS)
+    fleet.crash('a')
+    rest = [name for name in DOMAINS if name != 'a']
+    for index in range(2):
+        list_hosts(fleet, *rest, f'x{index}')
+    fleet.run(3_000)
+    assert fleet.allowed(target)[standby] == 2
+    list_hosts(fleet, *rest)
+    fleet.run(1_000)
+    assert fleet.allowed(target)[standby] == 4
+    host = fleet.start('a')
+    fleet.run(500)
+    assert fleet.allowed(target)['a'] == 0
+    fleet.run(3_000)
+    assert host.holder.held
+    assert fleet.allowed(target) == {'a': 4} | dict.fromkeys(rest, 0)
+
+
+def test_one_stale_list_transfers_nothing(fleet) -> None:
+    """Guards against a stale or truncated list that ends a host's floor."""
+    hosts = fleet.platform.set_hosts(dict.fromkeys(DOMAINS, LIVE))
+    view = fleet.host_by_name['b'].departures
+    view.on_host_list(hosts)
+    for _ in range(5):
+        view.on_host_list(interface.HostList(hosts.version + 1, {}))
+    assert not view.has_left('a')
+    view.on_host_list(interface.HostList(hosts.version + 2, {'b': LIVE}))
+    view.on_host_list(
+        interface.HostList(hosts.version + 3, {'a': LIVE, 'b': LIVE})
+    )
+    view.on_host_list(interface.HostList(hosts.version + 4, {'b': LIVE}))
+    assert not view.has_left('a')
+
+
+def test_standby_that_dies_after_a_takeover(fleet) -> None:
+    """Guards against slots that a dead standby keeps for ever."""
+    list_hosts(fleet, *DOMAINS)
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash('a')
+    fleet.run(3_000)
+    assert takeovers(fleet)['a'] == standby
+    fleet.crash(standby)
+    host = fleet.start('a')
+    fleet.run(3_000)
+    assert fleet.allowed(fleet.owned('a'))['a'] == 2
+    rest = [name for name in DOMAINS if name != standby]
+    for index in range(3):
+        fleet.run(100)
+        list_hosts(fleet, *rest, f'x{index}')
+    host.departures.on_host_list(interface.HostList(1, {}))
+    for index in range(3, 7):
+        list_hosts(fleet, *DOMAINS, f'x{index}')
+    for index in range(3):
+        list_hosts(fleet, *rest, f'y{index}')
+    fleet.run(3_000)
+    assert host.holder.held
+
+
+def test_restarted_standby_clears_its_old_takeover(fleet) -> None:
+    """Guards against an old row that keeps the owner from the table."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash('a')
+    fleet.run(3_000)
+    fleet.crash(standby)
+    fleet.start(standby)
+    fleet.start('a')
+    fleet.run(3_000)
+    assert takeovers(fleet) == {}
+    assert fleet.host_by_name['a'].holder.held
+
+
+def test_planned_stop_transfers_all_slots_at_once(fleet) -> None:
+    """Guards against slots that stay unused until the lease ends."""
+    target = fleet.owned('a')
+    standby = fleet.owners.standby_by_host['a']
+    host = fleet.host_by_name['a']
+    assert anyio.run(host.holder.hand_over, 1_000)
+    assert fleet.allowed(target)['a'] == 0
+    fleet.run(200)
+    assert fleet.allowed(target)[standby] == 4
+    fleet.crash('a')
+    fleet.start('a')
+    fleet.run(3_000)
+    assert fleet.allowed(target)['a'] == 4
+
+
+def test_planned_stop_waits_for_requests_in_progress(fleet) -> None:
+    """Guards against a standby that adds to requests that still run."""
+    target = fleet.owned('a')
+    grant = fleet.admit('a', target)
+    host = fleet.host_by_name['a']
+    assert not anyio.run(host.holder.hand_over, 200)
+    assert fleet.admit('a', target) is None
+    grant.release(fleet_module.slots.AttemptResult.SERVED, 1)
+
+
+def test_standby_of_an_older_configuration_does_not_take_over(fleet) -> None:
+    """Guards against two standbys of different versions."""
+    standby = fleet.owners.standby_by_host['a']
+    writes = [interface.Write(_rows.HEAD_KEY, b'{"version": 2}')]
+    anyio.run(fleet.platform.commit, [], writes)
+    fleet.crash('a')
+    fleet.run(5_000)
+    assert fleet.allowed(fleet.owned('a'))[standby] == 0
+    assert takeovers(fleet) == {}
+
+
+def test_new_standby_waits_for_the_version_of_the_old_one(fleet) -> None:
+    """Guards against a takeover while the old standby still grants."""
+    old = fleet.owners.standby_by_host['a']
+    rest = {name: 'north1' for name in DOMAINS if name != old}
+    new = other_of(fleet, 'a', old)
+    fleet.current = build.build_config(rest, fleet.targets, version=2)
+    fleet.host_by_name[new].configure(*fleet.current)
+    fleet.record_by_host[new] = 2
+    for _ in range(60):
+        fleet.run(100)
+        for target in fleet.targets:
+            assert sum(fleet.allowed(target).values()) <= 4
+    assert fleet.host_by_name['a'].holder.held
+    for name in ('a', old):
+        fleet.host_by_name[name].configure(*fleet.current)
+        fleet.record_by_host[name] = 2
+    fleet.run(4_000)
+    assert fleet.host_by_name['a'].holder.held
+    assert takeovers(fleet) == {}
--- /dev/null
+++ b/wigeonhatch/budget/lease.py
@@ -0,0 +1,293 @@
+"""Lease of this host from its standby."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import logging
+
+import anyio
+import msgspec
+
+from wigeonhatch import clock as clock_module
+from wigeonhatch.budget import _rows
+from wigeonhatch.budget import slots
+from wigeonhatch.config import model
+from wigeonhatch.platform import interface
+from wigeonhatch.steering import ownership as ownership_module
+
+LEASE_MS = _rows.LEASE_MS
+RENEW_MS = 500
+RENEW_TIMEOUT_MS = 400
+TICK_MS = 250
+FALLBACK_MS = 1_200
+"""Remaining validity below which the table is asked: one lost response of the
+standby causes no write."""
+POLL_MS = 20
+RELEASE_ATTEMPTS = 3
+
+_LOG = logging.getLogger(__name__)
+
+
+class LeaseStatus(enum.IntEnum):
+    """Answer to a renewal; the numbers are those of the peer protocol."""
+
+    DENIED = 0
+    GRANTED = 1
+    RETURNING = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseDecision:
+    """Answer of a standby to a renewal.
+
+    Args:
+        status: Whether the lease is granted, denied (the host asked is not
+            the standby), or still to be returned by the standby.
+        granted_ms: Validity of a granted lease in ms. With `RETURNING`, 0 if
+            the host may not use its floor slots either.
+    """
+
+    status: LeaseStatus
+    granted_ms: int
+
+
+Renew = collections.abc.Callable[
+    [str, bool], collections.abc.Awaitable[LeaseDecision | None]
+]
+
+
+class LeaseHolder:
+    """Hold the lease for this host's leased slots.
+
+    Args:
+        host: Name of this host.
+        incarnation: Incarnation of this host.
+        clock: Source of time.
+        platform: Platform for the fallback lease.
+        table: Slots that the lease allows.
+        renew: Sends `RenewLease` to a standby (host, release); None if it
+            did not respond.
+        has_left: Tells whether a host has left the platform's list.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        clock: clock_module.Clock,
+        platform: interface.Platform,
+        table: slots.SlotTable,
+        renew: Renew,
+        has_left: collections.abc.Callable[[str], bool],
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._clock = clock
+        self._platform = platform
+        self._table = table
+        self._renew = renew
+        self._has_left = has_left
+        self._is_configured = False
+        self._standby: str | None = None
+        self._verified_standby: str | None = None
+        self._until_ms = 0
+        self._lease_version = interface.ABSENT
+        self._takeover_version = interface.ABSENT
+        self._is_stopping = False
+
+    @property
+    def held(self) -> bool:
+        """Whether this host may use its leased slots now."""
+        return self._clock.now_ms < self._until_ms
+
+    def configure(
+        self,
+        versioned: model.VersionedConfig,
+        ownership: ownership_module.Ownership,
+    ) -> None:
+        """Apply a configuration.
+
+        Args:
+            versioned: Configuration in force.
+            ownership: Owners and standbys that follow from it.
+        """
+        del versioned
+        self._is_configured = True
+        self._standby = ownership.standby_by_host.get(self._host)
+        end_ms = self._clock.now_ms + LEASE_MS
+        if self._standby is not None and self._until_ms > end_ms:
+            # The lease had no end, because the host had no standby.
+            self._hold_until(end_ms)
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_clock)
+            while True:
+                start_ms = self._clock.now_ms
+                await self.step()
+                spent_ms = self._clock.now_ms - start_ms
+                await self._clock.sleep_ms(max(POLL_MS, RENEW_MS - spent_ms))
+
+    async def step(self) -> None:
+        """Renew the lease once, from the standby or the table."""
+        self._table.observe_clock()
+        if self._is_stopping or not self._is_configured:
+            return
+        standby = self._standby
+        if standby is None:
+            self._hold_until(None)
+            self._table.resume()
+            return
+        sent_ms = self._clock.now_ms
+        reply = await self._ask(standby, False)
+        if self._is_stale(sent_ms) or standby != self._standby:
+            return
+        if reply is not None and reply.status is LeaseStatus.GRANTED:
+            if await self._verify(standby) and not self._is_stale(sent_ms):
+                self._hold_until(sent_ms + reply.granted_ms)
+                self._table.resume()
+        elif reply is not None and reply.status is LeaseStatus.RETURNING:
+            self._on_not_held(may_use_floor=reply.granted_ms > 0)
+        elif (
+            self._until_ms - self._clock.now_ms < FALLBACK_MS
+            or self._table.is_suspended
+        ):
+            await self._renew_in_table()
+
+    async def hand_over(self, bound_ms: int) -> bool:
+        """Stop admitting and let the standby take over without delay.
+
+        The slots are released when no request is in progress on them, so
+        that the standby never adds to the load of requests that still run.
+        While requests run for longer than the lease, the standby takes over
+        the leased slots when it ends, as after a crash.
+
+        Args:
+            bound_ms: Longest time to wait for requests in progress in ms.
+
+        Returns:
+            Whether the standby has confirmed that it takes over.
+        """
+        self._is_stopping = True
+        self._table.suspend()
+        end_ms = self._clock.now_ms + bound_ms
+        while self._table.in_progress_for(self._host):
+            if self._clock.now_ms >= end_ms:
+                return False
+            await self._clock.sleep_ms(POLL_MS)
+        self._hold_until(0)
+        for _ in range(RELEASE_ATTEMPTS):
+            if self._standby is None:
+                return False
+            reply = await self._ask(self._standby, True)
+            if reply is not None:
+                return reply.status is LeaseStatus.GRANTED
+        return False
+
+    async def _watch_clock(self) -> None:
+        while True:
+            self._table.observe_clock()
+            await self._clock.sleep_ms(TICK_MS)
+
+    async def _ask(self, standby: str, release: bool) -> LeaseDecision | None:
+        with anyio.move_on_after(RENEW_TIMEOUT_MS / 1000):
+            return await self._renew(standby, release)
+        return None
+
+    def _is_stale(self, sent_ms: int) -> bool:
+        # The process may have been paused since the question: the response
+        # then says nothing about the present.
+        now_ms = self._table.observe_clock()
+        return self._is_stopping or now_ms - sent_ms >= LEASE_MS
+
+    def _hold_until(self, until_ms: int | None) -> None:
+        if until_ms is None:
+            self._until_ms = slots.HAS_LEFT
+            self._table.set_lease(True)
+        else:
+            self._until_ms = until_ms
+            self._table.set_lease(until_ms > 0, until_ms)
+
+    def _on_not_held(self, may_use_floor: bool) -> None:
+        self._hold_until(0)
+        if may_use_floor:
+            self._table.resume()
+        else:
+            self._table.suspend()
+
+    async def _verify(self, standby: str) -> bool:
+        """Check that no earlier standby still uses the slots."""
+        if standby == self._verified_standby:
+            return True
+        sent_ms = self._clock.now_ms
+        key = _rows.takeover_key(self._host)
+        result = await _rows.commit(
+            self._platform, [interface.Check(key, interface.ABSENT)], []
+        )
+        if isinstance(result, interface.Conflict):
+            row = result.row_by_key.get(key)
+            takeover = _rows.decode(row, _rows.TakeoverRow)
+            # A row of the granting standby itself stems from an earlier
+            # incarnation of it and is deleted by the standby.
+            if takeover is None or takeover.holder != standby:
+                if not self._is_stale(sent_ms):
+                    await self._renew_in_table()
+                return False
+        if isinstance(result, interface.Committed | interface.Conflict):
+            self._verified_standby = standby
+        # Without the platform nobody can have taken over since.
+        return True
+
+    async def _renew_in_table(self) -> None:
+        lease_key = _rows.lease_key(self._host)
+        takeover_key = _rows.takeover_key(self._host)
+        for _ in range(2):
+            row = _rows.LeaseRow(self._incarnation, _rows.draw_change_id())
+            writes = [interface.Write(lease_key, msgspec.json.encode(row))]
+            if self._takeover_version != interface.ABSENT:
+                writes.append(interface.Write(takeover_key, None))
+            checks = [
+                interface.Check(lease_key, self._lease_version),
+                interface.Check(takeover_key, self._takeover_version),
+            ]
+            sent_ms = self._clock.now_ms
+            result = await _rows.commit(self._platform, checks, writes)
+            if self._is_stale(sent_ms):
+                return
+            if isinstance(result, interface.Committed):
+                self._lease_version = result.version_by_key[lease_key]
+                self._takeover_version = interface.ABSENT
+                self._hold_until(sent_ms + LEASE_MS)
+                self._table.resume()
+                return
+            if not isinstance(result, interface.Conflict):
+                return
+            if not self._may_retry(result):
+                return
+
+    def _may_retry(self, conflict: interface.Conflict) -> bool:
+        lease_row = conflict.row_by_key.get(_rows.lease_key(self._host))
+        takeover_row = conflict.row_by_key.get(_rows.takeover_key(self._host))
+        self._lease_version = _rows.version_of(lease_row)
+        self._takeover_version = interface.ABSENT
+        if takeover_row is not None:
+            takeover = _rows.decode(takeover_row, _rows.TakeoverRow)
+            if takeover is not None and self._has_left(takeover.holder):
+                self._takeover_version = takeover_row.version
+                return True
+            self._verified_standby = None
+            self._on_not_held(
+                takeover is not None and not takeover.include_floor
+            )
+            return False
+        lease = _rows.decode(lease_row, _rows.LeaseRow)
+        if (
+            lease is None or lease.incarnation != self._incarnation
+        ) and _rows.is_valid(lease_row, conflict.platform_ms):
+            # Another process runs under the name of this host.
+            self._on_not_held(may_use_floor=False)
+            return False
+        return True
--- /dev/null
+++ b/wigeonhatch/budget/slots.py
@@ -0,0 +1,711 @@
+"""Admission to the targets that this host owns or has taken over."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+import math
+import operator
+
+import anyio
+
+from wigeonhatch import clock as clock_module
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.budget import _service
+from wigeonhatch.budget import _target
+from wigeonhatch.budget import reports
+from wigeonhatch.config import model
+from wigeonhatch.steering import ownership as ownership_module
+
+AttemptResult = _target.AttemptResult
+LoadReport = reports.LoadReport
+
+PAUSE_MS = 2_000
+"""Gap of the clock after which the process counts as paused. It is the length
+of a lease: after a shorter gap nobody else can hold the slots."""
+REFRESH_MS = 100
+"""Interval at which limits that change with time are recomputed."""
+MAX_WAIT_MS = 100
+MAX_WAITERS_PER_SLOT = 2
+"""Bound of the queue: a slot serves about one request per 50 ms, so that a
+longer queue would only hold requests until they are refused."""
+HAS_LEFT = 1 << 61
+"""Confirmed version of a host that no longer exists."""
+ORDER_STEP = 1e-12
+"""Far below the difference of two shares, so that it only decides ties."""
+
+_LOG = logging.getLogger(__name__)
+_BY_KEY = operator.attrgetter('key')
+_SUSPENDED = outcome.Failure(
+    codes.ResultCode.NO_CAPACITY,
+    'this host admits nothing until its standby or the platform has responded',
+)
+
+Confirmed = collections.abc.Callable[[str], int | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Request that needs a slot.
+
+    Args:
+        service: Name of the service.
+        customer: Name of the customer, '' for none.
+        idempotent: Whether the request may run more than once.
+        bucket: Hash bucket of the client.
+        on_preempt: Cancels the attempt; None if it must not be preempted.
+    """
+
+    service: str
+    customer: str
+    idempotent: bool
+    bucket: int
+    on_preempt: collections.abc.Callable[[], None] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSummary:
+    """Load of one service on the targets that a host admits to, in slots.
+
+    Args:
+        free: Slots that a request without a reservation may use now.
+        used: Requests in progress.
+        capacity: Slots that the host may use now.
+    """
+
+    free: int
+    used: int
+    capacity: int
+
+
+class SlotGrant:
+    """Slot of one target, to be released exactly once."""
+
+    __slots__ = ('_is_released', '_table', 'demand', 'is_reserved', 'serial',
+                 'service', 'state', 'target')  # fmt: skip
+
+    def __init__(
+        self,
+        table: SlotTable,
+        service: _service.ServiceSlots,
+        state: _target.TargetState,
+        demand: Demand,
+        is_reserved: bool,
+        serial: int,
+    ) -> None:
+        self._table = table
+        self._is_released = False
+        self.service = service
+        self.state = state
+        self.demand = demand
+        self.is_reserved = is_reserved
+        self.serial = serial
+        self.target = state.name
+
+    def release(self, result: AttemptResult, latency_ms: int) -> None:
+        """Return the slot; further calls have no effect.
+
+        Args:
+            result: How the attempt ended.
+            latency_ms: Time from the start of the attempt to its end in ms.
+        """
+        if not self._is_released:
+            self._is_released = True
+            self._table.on_release(self, result, latency_ms)
+
+
+class SlotTable:
+    """Slots of the targets that this host owns or has taken over.
+
+    The table starts suspended: another incarnation of the host or its standby
+    may hold the slots, so that nothing is admitted until `resume`.
+
+    Args:
+        host: Name of this host.
+        clock: Source of time.
+        confirmed: Names the configuration version that a host, and the host
+            that acts for it if there is one, have confirmed; None if no
+            record of the host is known, `HAS_LEFT` if the host has left the
+            platform's list.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        clock: clock_module.Clock,
+        confirmed: Confirmed = lambda host: None,
+    ) -> None:
+        self.host = host
+        self.violations = 0
+        self._clock = clock
+        self._confirmed = confirmed
+        self._last_ms = clock.now_ms
+        self._versioned: model.VersionedConfig | None = None
+        self._ownership: ownership_module.Ownership | None = None
+        self._is_suspended = True
+        self._lease_until_ms = 0
+        self._has_lease = False
+        self._floor_by_taken_host: dict[str, bool] = {}
+        self._drained: frozenset[str] = frozenset()
+        self._service_by_name: dict[str, _service.ServiceSlots] = {}
+        self._state_by_target: dict[str, _target.TargetState] = {}
+        self._moved_by_target: dict[str, dict[str, tuple[int, bool]]] = {}
+        self._unknown_since = 0
+        self._serial = 0
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the host's own targets receive nothing."""
+        return self._is_suspended
+
+    def configure(
+        self,
+        versioned: model.VersionedConfig,
+        ownership: ownership_module.Ownership,
+    ) -> None:
+        """Apply a configuration; an older one has no effect.
+
+        Args:
+            versioned: Configuration in force.
+            ownership: Owners and standbys that follow from it.
+        """
+        before = self._versioned
+        if before is not None and before.version >= versioned.version:
+            return
+        self._note_moves(versioned, ownership)
+        self._versioned = versioned
+        self._ownership = ownership
+        old_by_name = self._service_by_name
+        self._service_by_name = {}
+        for name in versioned.config.service_by_name:
+            service = _service.ServiceSlots(
+                name,
+                {
+                    customer: item.reserved_percent_by_service[name]
+                    for customer, item in (
+                        versioned.config.customer_by_name.items()
+                    )
+                    if item.reserved_percent_by_service.get(name)
+                },
+                versioned.config.tuning.hold_back_percent,
+            )
+            old = old_by_name.get(name)
+            if old is not None:
+                # Grants refer to their service until they are released.
+                old.adopt(service)
+                service = old
+            self._service_by_name[name] = service
+        self._rebuild()
+
+    def acquire(
+        self, demand: Demand
+    ) -> outcome.Success[SlotGrant] | outcome.Failure:
+        """Admit a request to the target with the least used share.
+
+        Args:
+            demand: Request that needs a slot.
+
+        Returns:
+            A slot, or `NO_CAPACITY` (not run), or `UNKNOWN_SERVICE`.
+        """
+        now_ms = self.observe_clock()
+        service = self._service_by_name.get(demand.service)
+        if service is None:
+            return outcome.Failure(
+                codes.ResultCode.UNKNOWN_SERVICE, repr(demand.service)
+            )
+        if now_ms >= service.refresh_ms:
+            self._refresh(service, now_ms)
+        return self._admit(service, demand, now_ms)
+
+    async def acquire_within(
+        self, demand: Demand, wait_ms: int
+    ) -> outcome.Success[SlotGrant] | outcome.Failure:
+        """Admit a request, waiting for a slot if there is none.
+
+        A customer within its reservation also preempts a request that uses
+        a lent slot, and is served before others.
+
+        Args:
+            demand: Request that needs a slot.
+            wait_ms: Longest wait in ms; at most `MAX_WAIT_MS` count.
+
+        Returns:
+            As for `acquire`.
+        """
+        result = self.acquire(demand)
+        if (
+            isinstance(result, outcome.Success)
+            or result.code is not codes.ResultCode.NO_CAPACITY
+            or wait_ms <= 0
+        ):
+            return result
+        service = self._service_by_name[demand.service]
+        may_reclaim = service.may_reclaim(demand.customer)
+        queue = service.reserved_queue if may_reclaim else service.queue
+        if len(queue) >= service.limit * MAX_WAITERS_PER_SLOT:
+            return result
+        waiter = _service.Waiter(demand)
+        queue.append(waiter)
+        victim = service.pop_victim() if may_reclaim else None
+        if victim is not None and victim.demand.on_preempt is not None:
+            victim.demand.on_preempt()
+        try:
+            with anyio.move_on_after(min(wait_ms, MAX_WAIT_MS) / 1000):
+                await waiter.event.wait()
+        except BaseException:
+            if waiter.grant is not None:
+                waiter.grant.release(AttemptResult.CANCELLED, 0)
+            raise
+        finally:
+            if waiter.grant is None:
+                with contextlib.suppress(ValueError):
+                    queue.remove(waiter)
+        if waiter.grant is None:
+            return result
+        return outcome.Success(waiter.grant)
+
+    def set_drained(self, targets: frozenset[str]) -> None:
+        """Stop admitting to draining targets, and resume with the others.
+
+        Args:
+            targets: All targets that drain now.
+        """
+        now_ms = self._clock.now_ms
+        self._drained = targets
+        for state in self._state_by_target.values():
+            is_draining = state.name in targets
+            if state.draining and not is_draining:
+                state.cool(now_ms)
+            state.draining = is_draining
+        self._mark_all()
+
+    def set_lease(self, held: bool, until_ms: int | None = None) -> None:
+        """Allow or stop the use of the own leased slots.
+
+        Args:
+            held: Whether this host holds its lease.
+            until_ms: End of the lease on this host's clock in ms; None if
+                the lease does not end.
+        """
+        if not held:
+            self._lease_until_ms = 0
+        elif until_ms is None:
+            self._lease_until_ms = _service.NEVER_MS
+        else:
+            self._lease_until_ms = until_ms
+        self.observe_clock()
+
+    def suspend(self) -> None:
+        """Admit nothing to own targets until `resume`."""
+        if not self._is_suspended:
+            self._is_suspended = True
+            self._mark_all()
+
+    def resume(self) -> None:
+        """Admit to own targets again: floor slots are this host's."""
+        if self._is_suspended:
+            self._is_suspended = False
+            self._mark_all()
+            self._serve_waiters()
+
+    def observe_clock(self) -> int:
+        """Compare the clock with its last reading and detect a pause.
+
+        A pause ends the right to all slots until `resume` and `take_over`.
+
+        Returns:
+            Current time in ms.
+        """
+        now_ms = self._clock.now_ms
+        if now_ms - self._last_ms > PAUSE_MS:
+            _LOG.warning(
+                'process paused for %d ms: admission suspended',
+                now_ms - self._last_ms,
+            )
+            self._is_suspended = True
+            self._floor_by_taken_host.clear()
+            self._last_ms = now_ms
+            self._rebuild()
+        self._last_ms = now_ms
+        if (now_ms < self._lease_until_ms) is not self._has_lease:
+            self._has_lease = not self._has_lease
+            self._mark_all()
+            if self._has_lease:
+                self._serve_waiters()
+        return now_ms
+
+    def take_over(self, host: str, include_floor: bool) -> None:
+        """Admit to the targets of another host.
+
+        Args:
+            host: Owner of the targets.
+            include_floor: Whether to use its floor slots as well.
+        """
+        self._floor_by_taken_host[host] = include_floor
+        self._rebuild()
+
+    def give_back(self, host: str) -> None:
+        """Stop admitting to the targets of another host.
+
+        Args:
+            host: Owner of the targets.
+        """
+        if self._floor_by_taken_host.pop(host, None) is not None:
+            self._rebuild()
+
+    def is_acting_for(self, host: str) -> bool:
+        """Tell whether this host admits to another host's targets.
+
+        Args:
+            host: Owner of the targets.
+        """
+        return host in self._floor_by_taken_host
+
+    def in_progress_for(self, host: str) -> int:
+        """Count the requests in progress on the targets of a host.
+
+        Args:
+            host: Owner of the targets, or this host.
+        """
+        return sum(
+            state.used
+            for state in self._state_by_target.values()
+            if state.owner == host
+        )
+
+    def in_progress_on(self, target: str) -> int:
+        """Count the requests in progress on a target.
+
+        Args:
+            target: Name of the target.
+        """
+        state = self._state_by_target.get(target)
+        return 0 if state is None else state.used
+
+    def allowance(self, target: str) -> int:
+        """Name the slots of a target that this host may use now.
+
+        Args:
+            target: Name of the target.
+        """
+        now_ms = self.observe_clock()
+        state = self._state_by_target.get(target)
+        if state is None or not state.is_admitted:
+            return 0
+        self._check_others(state)
+        return self._allowance(state, now_ms)
+
+    def on_report(self, target: str, report: LoadReport) -> None:
+        """Learn from a load report; it can only lower what is admitted.
+
+        Args:
+            target: Name of the target.
+            report: Load as the target reports it.
+        """
+        state = self._state_by_target.get(target)
+        if state is None:
+            return
+        state.report.on_report(
+            report, state.low, state.high, self._clock.now_ms
+        )
+        state.low = state.high = state.used
+        self._mark(state.service)
+
+    def on_probe(self, target: str, is_healthy: bool) -> None:
+        """Learn from a health probe; a success ends an ejection.
+
+        Args:
+            target: Name of the target.
+            is_healthy: Whether the target answered the probe.
+        """
+        state = self._state_by_target.get(target)
+        if state is None or not state.ejected_until_ms:
+            return
+        if is_healthy:
+            state.cool(self._clock.now_ms)
+        else:
+            state.eject(self._clock.now_ms)
+        self._mark(state.service)
+
+    def loads(self) -> dict[str, LoadSummary]:
+        """Summarize the load of each service that has targets here.
+
+        Returns:
+            Load by service.
+        """
+        now_ms = self.observe_clock()
+        summary_by_service: dict[str, LoadSummary] = {}
+        for name, service in self._service_by_name.items():
+            if not service.states:
+                continue
+            if now_ms >= service.refresh_ms:
+                self._refresh(service, now_ms)
+            summary_by_service[name] = LoadSummary(
+                max(0, service.free_for(False)),
+                sum(state.used for state in service.states),
+                service.limit,
+            )
+        return summary_by_service
+
+    def on_release(
+        self, grant: SlotGrant, result: AttemptResult, latency_ms: int
+    ) -> None:
+        """Return a slot; called by `SlotGrant.release`.
+
+        Args:
+            grant: Slot that is returned.
+            result: How the attempt ended.
+            latency_ms: Time from the start of the attempt to its end in ms.
+        """
+        state = grant.state
+        service = grant.service
+        used = state.used = state.used - 1
+        if used < state.low:
+            state.low = used
+        if used < state.limit:
+            service.free += 1
+            state.key = used / state.limit + state.order
+        if service.preemptible:
+            service.preemptible.pop(grant.serial, None)
+        if grant.is_reserved:
+            service.add_use(grant.demand.customer, -1)
+        state.latency_ms += (latency_ms - state.latency_ms) / 8
+        now_ms = self.observe_clock()
+        if state.on_result(result, now_ms):
+            service.refresh_ms = 0
+        if service.reserved_queue or service.queue:
+            self._serve_queues(service, now_ms)
+
+    def _admit(
+        self, service: _service.ServiceSlots, demand: Demand, now_ms: int
+    ) -> outcome.Success[SlotGrant] | outcome.Failure:
+        is_reserved = False
+        if service.used_by_customer:
+            is_reserved = service.has_reservation(demand.customer)
+            if service.free_for(is_reserved) <= 0:
+                return self._refuse(service)
+        elif service.free <= 0:
+            return self._refuse(service)
+        state = min(service.states, key=_BY_KEY)
+        used = state.used + 1
+        # Independent of the cached limit, which a fault could leave too high.
+        if used > self._allowance(state, now_ms):
+            return self._on_violation(state)
+        state.used = used
+        if used > state.high:
+            state.high = used
+        service.free -= 1
+        self._serial = serial = self._serial + 1
+        state.order = serial * ORDER_STEP
+        state.key = (
+            used / state.limit + state.order
+            if used < state.limit
+            else _target.FULL
+        )
+        grant = SlotGrant(self, service, state, demand, is_reserved, serial)
+        if service.used_by_customer:
+            if is_reserved:
+                service.add_use(demand.customer, 1)
+            elif demand.idempotent and demand.on_preempt is not None:
+                service.preemptible[serial] = grant
+        return outcome.Success(grant)
+
+    def _refuse(self, service: _service.ServiceSlots) -> outcome.Failure:
+        return _SUSPENDED if self._is_suspended else service.no_capacity
+
+    def _on_violation(self, state: _target.TargetState) -> outcome.Failure:
+        self.violations += 1
+        detail = (
+            f'target {state.name!r}: {state.used} requests in progress '
+            'use up the allowance'
+        )
+        _LOG.error('%s: %s', codes.ResultCode.INVARIANT_VIOLATED.name, detail)
+        self._mark(state.service)
+        return outcome.Failure(codes.ResultCode.INVARIANT_VIOLATED, detail)
+
+    def _allowance(self, state: _target.TargetState, now_ms: int) -> int:
+        if state.pending:
+            return 0
+        if state.is_own:
+            if self._is_suspended:
+                return 0
+            if now_ms < self._lease_until_ms:
+                return state.floor + state.leased
+            return state.floor
+        include_floor = self._floor_by_taken_host.get(state.owner)
+        if include_floor is None:
+            return 0
+        return state.leased + state.floor if include_floor else state.leased
+
+    def _refresh(self, service: _service.ServiceSlots, now_ms: int) -> None:
+        is_steady = True
+        for state in service.states:
+            self._check_others(state)
+            limit = min(self._allowance(state, now_ms), state.capacity(now_ms))
+            state.limit = limit
+            state.key = (
+                state.used / limit + state.order
+                if state.used < limit
+                else _target.FULL
+            )
+            is_steady = is_steady and state.is_steady
+        service.refresh_ms = (
+            _service.NEVER_MS if is_steady else now_ms + REFRESH_MS
+        )
+        service.recount()
+
+    def _check_others(self, state: _target.TargetState) -> None:
+        """Learn what other hosts have confirmed about a target."""
+        if state.pending:
+            self._check_pending(state)
+        if len(state.variants) > 1:
+            self._settle(state)
+
+    def _check_pending(self, state: _target.TargetState) -> None:
+        assert self._versioned is not None
+        for host, (version, is_known_owner) in list(state.pending.items()):
+            confirmed = self._confirmed(host)
+            if confirmed is None:
+                if not is_known_owner:
+                    del state.pending[host]
+            elif confirmed >= HAS_LEFT:
+                del state.pending[host]
+            # A version that is newer than this host's may have moved the
+            # target back.
+            elif version <= confirmed <= self._versioned.version:
+                del state.pending[host]
+
+    def _settle(self, state: _target.TargetState) -> None:
+        assert self._ownership is not None
+        other: str | None = state.owner
+        if state.is_own:
+            other = self._ownership.standby_by_host.get(self.host)
+        confirmed = math.inf if other is None else self._confirmed(other)
+        if confirmed is not None:
+            state.settle(int(min(confirmed, _service.NEVER_MS)))
+
+    def _note_moves(
+        self,
+        versioned: model.VersionedConfig,
+        ownership: ownership_module.Ownership,
+    ) -> None:
+        before = self._versioned
+        version = versioned.version
+        if before is None or version > before.version + 1:
+            self._unknown_since = version
+        if self._ownership is None:
+            return
+        for target, owner in ownership.owner_by_target.items():
+            old = self._ownership.owner_by_target.get(target)
+            if old is not None and old != owner:
+                self._moved_by_target.setdefault(target, {})[old] = (
+                    version,
+                    True,
+                )
+        for target, moves in list(self._moved_by_target.items()):
+            for host, (since, _) in list(moves.items()):
+                if (self._confirmed(host) or 0) >= since:
+                    del moves[host]
+            if not moves or target not in ownership.owner_by_target:
+                del self._moved_by_target[target]
+
+    def _pending_for(self, target: str) -> dict[str, tuple[int, bool]]:
+        assert self._versioned is not None and self._ownership is not None
+        config = self._versioned.config
+        owner = self._ownership.owner_by_target[target]
+        # An owner of a version that this host has not seen can only be another
+        # host of the target's domain.
+        domain = config.target_by_name[target].domain
+        pending = {
+            name: (self._unknown_since, False)
+            for name, host in config.host_by_name.items()
+            if host.domain == domain
+        }
+        pending.update(self._moved_by_target.get(target, {}))
+        pending.pop(owner, None)
+        pending.pop(self.host, None)
+        return pending
+
+    def _rebuild(self) -> None:
+        """Recompute which targets this host admits to, and how much."""
+        if self._versioned is None or self._ownership is None:
+            return
+        version = self._versioned.version
+        config = self._versioned.config
+        now_ms = self._clock.now_ms
+        for service in self._service_by_name.values():
+            service.states = []
+        owner_by_target = {
+            target: host
+            for host in (self.host, *self._floor_by_taken_host)
+            for target in self._ownership.targets_by_owner.get(host, ())
+        }
+        for state in list(self._state_by_target.values()):
+            if state.name not in owner_by_target:
+                state.limit = 0
+                state.key = _target.FULL
+                state.is_admitted = False
+                if not state.used:
+                    del self._state_by_target[state.name]
+        percent = config.tuning.floor_percent
+        for target, owner in owner_by_target.items():
+            service_name = config.target_by_name[target].service
+            slots = config.service_by_name[service_name].slots
+            known = self._state_by_target.get(target)
+            if known is None or known.owner != owner or not known.is_admitted:
+                known = self._start(target, service_name, owner, known)
+                known.cool(now_ms)
+                known.pending = self._pending_for(target)
+            known.adopt(version, slots, math.ceil(slots * percent / 100))
+            self._service_by_name[service_name].states.append(known)
+        self._mark_all()
+
+    def _start(
+        self,
+        target: str,
+        service: str,
+        owner: str,
+        old: _target.TargetState | None,
+    ) -> _target.TargetState:
+        state = old or _target.TargetState(target, service, owner)
+        state.service = service
+        state.owner = owner
+        state.is_own = owner == self.host
+        state.is_admitted = True
+        state.draining = target in self._drained
+        state.variants.clear()
+        self._state_by_target[target] = state
+        return state
+
+    def _mark(self, service: str) -> None:
+        found = self._service_by_name.get(service)
+        if found is not None:
+            found.refresh_ms = 0
+
+    def _mark_all(self) -> None:
+        for service in self._service_by_name.values():
+            service.refresh_ms = 0
+
+    def _serve_waiters(self) -> None:
+        now_ms = self.observe_clock()
+        for service in self._service_by_name.values():
+            if service.reserved_queue or service.queue:
+                self._serve_queues(service, now_ms)
+
+    def _serve_queues(
+        self, service: _service.ServiceSlots, now_ms: int
+    ) -> None:
+        if now_ms >= service.refresh_ms:
+            self._refresh(service, now_ms)
+        for queue in (service.reserved_queue, service.queue):
+            while queue:
+                result = self._admit(service, queue[0].demand, now_ms)
+                if isinstance(result, outcome.Failure):
+                    break
+                waiter = queue.popleft()
+                waiter.grant = result.value
+                waiter.event.set()
