--- /dev/null
+++ b/tests/requests/rig.py
@@ -0,0 +1,326 @@
+"""Hosts in one process, connected by real sockets, with simple admission."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+import typing
+
+from grpclib import client as grpc_client
+from grpclib import server as grpc_server
+import httpcore
+import msgspec
+import uvicorn
+
+from tests.targets import scripted
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch import settings
+from wigeonhatch.config import model as config_model
+from wigeonhatch.peers import peers_grpc
+from wigeonhatch.requests import application
+from wigeonhatch.requests import attempts
+from wigeonhatch.requests import dependencies
+from wigeonhatch.requests import forward_client
+from wigeonhatch.requests import forward_server
+from wigeonhatch.requests import keys
+from wigeonhatch.requests import server
+from wigeonhatch.targets import client as target_client
+
+CODE = codes.ResultCode
+LIMITS = settings.Limits(max_header_bytes=4_096, max_connections=8)
+
+
+@dataclasses.dataclass
+class Grant:
+    """Slot of one target."""
+
+    target: str
+    table: FakeSlots
+    demand: dependencies.Demand
+
+    def release(
+        self, result: dependencies.AttemptResult, latency_ms: int
+    ) -> None:
+        """Return the slot."""
+        self.table.grants.remove(self)
+        self.table.results.append(result)
+
+
+class FakeSlots:
+    """Admission to targets in turn, up to a total limit."""
+
+    def __init__(self, targets: list[str], limit: int) -> None:
+        self.targets = targets
+        self.limit = limit
+        self.grants: list[Grant] = []
+        self.results: list[dependencies.AttemptResult] = []
+        self.acquired = 0
+
+    def acquire(
+        self, demand: dependencies.Demand
+    ) -> outcome.Success[dependencies.SlotGrant] | outcome.Failure:
+        """Take a slot."""
+        if len(self.grants) >= self.limit or not self.targets:
+            return outcome.Failure(CODE.NO_CAPACITY)
+        target = self.targets[self.acquired % len(self.targets)]
+        self.acquired += 1
+        self.grants.append(Grant(target, self, demand))
+        return outcome.Success(self.grants[-1])
+
+    async def acquire_within(
+        self, demand: dependencies.Demand, wait_ms: int
+    ) -> outcome.Success[dependencies.SlotGrant] | outcome.Failure:
+        """Take a slot."""
+        return self.acquire(demand)
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeRoute:
+    """Route to one host."""
+
+    host: str
+    region: str
+    is_local: bool
+
+
+class FakeLinks:
+    """Link budget that counts what is taken."""
+
+    def __init__(self) -> None:
+        self.has_room = True
+        self.taken: list[tuple[str, int, dependencies.TrafficClass]] = []
+
+    async def acquire(
+        self,
+        far_region: str,
+        size_bytes: int,
+        traffic_class: dependencies.TrafficClass,
+        wait_ms: int,
+    ) -> bool:
+        """Take tokens."""
+        self.taken.append((far_region, size_bytes, traffic_class))
+        return self.has_room
+
+
+class Host(peers_grpc.PeersBase):
+    """One host: callers' interface, peer service and targets."""
+
+    def __init__(self, rig: Rig, name: str, region: str) -> None:
+        self.name = name
+        self.region = region
+        self.current: config_model.VersionedConfig | None = rig.versioned
+        self.slots = FakeSlots([], 0)
+        self.routed: list[str] = [name]
+        self.links = FakeLinks()
+        self.clock = clocks.Clock()
+        self.targets = target_client.TargetClient(self.clock)
+        self.peer_ends: list[typing.Any] = []
+        self.summaries: list[typing.Any] = []
+        self._rig = rig
+        self._channels: dict[str, grpc_client.Channel] = {}
+        self.build(incarnation=1)
+
+    def build(self, incarnation: int) -> None:
+        """Make the parts whose state ends with an incarnation."""
+        self.keys = keys.KeyTable(self.name, incarnation, self.clock)
+        forwarder = forward_client.ForwardClient(
+            self.region, self.clock, self, self, self.links
+        )
+        self.runner = attempts.RequestRunner(
+            self.name,
+            self.clock,
+            self.slots,
+            self,
+            self.targets,
+            self.keys,
+            forwarder,
+        )
+        self.forward_server = forward_server.ForwardServer(
+            self.clock, self, self.runner, forwarder, LIMITS
+        )
+        self.application = application.Application(
+            self.clock,
+            LIMITS,
+            self,
+            lambda service, client, count: outcome.Success(
+                {'service': service, 'keys': self.keys.issue(count)}
+            ),
+            lambda: {'state': 'ok'},
+            self.runner,
+            self.summaries.append,
+        )
+
+    def routes(
+        self, service: str, bucket: int, bulk: bool
+    ) -> collections.abc.Iterator[dependencies.Route]:
+        """Yield the routes."""
+        for name in self.routed:
+            host = self._rig.hosts[name]
+            yield FakeRoute(name, host.region, name == self.name)
+
+    def refusal(self, service: str, bucket: int) -> outcome.Failure:
+        """Explain why there is no route."""
+        return outcome.Failure(CODE.REGION_UNAVAILABLE)
+
+    def stub(self, host: str) -> peers_grpc.PeersStub | None:
+        """Stub of a peer."""
+        port = self._rig.peer_ports.get(host)
+        if port is None:
+            return None
+        if host not in self._channels:
+            self._channels[host] = grpc_client.Channel('127.0.0.1', port)
+        return peers_grpc.PeersStub(self._channels[host])
+
+    def close(self) -> None:
+        """Close the connections of the host."""
+        for channel in self._channels.values():
+            channel.close()
+        self.targets.close()
+
+    async def Forward(self, stream: typing.Any) -> None:
+        """Answer `Forward`."""
+        self.peer_ends.append(stream)
+        await self.forward_server.handle(stream)
+
+    async def Exchange(self, stream: typing.Any) -> None:
+        """Not used."""
+
+    async def PushConfig(self, stream: typing.Any) -> None:
+        """Not used."""
+
+    async def FetchConfig(self, stream: typing.Any) -> None:
+        """Not used."""
+
+    async def RenewLease(self, stream: typing.Any) -> None:
+        """Not used."""
+
+
+class Rig:
+    """Three hosts; `h1` in region r1, `h2` and `h3` in region r2."""
+
+    def __init__(self) -> None:
+        self.versioned = scripted.build_config({})
+        self.hosts: dict[str, Host] = {}
+        self.peer_ports: dict[str, int] = {}
+        self.peer_servers: dict[str, grpc_server.Server] = {}
+        self.port_by_host: dict[str, int] = {}
+
+    def place(
+        self, host: str, *targets: scripted.ScriptedTarget, limit: int = 4
+    ) -> None:
+        """Give a host its targets."""
+        names = {f'{host}-t{i}': t.address for i, t in enumerate(targets)}
+        owner = self.hosts[host]
+        owner.targets.configure(scripted.build_config(names))
+        owner.slots.targets = list(names)
+        owner.slots.limit = limit
+
+    async def call(
+        self, host: str, method: str = 'GET', **kwargs: typing.Any
+    ) -> Answer:
+        """Send one request on a new connection."""
+        given = kwargs.pop('headers', {})
+        path = kwargs.pop('path', '/svc/x')
+        origin = httpcore.Origin(
+            b'http', b'127.0.0.1', self.port_by_host[host]
+        )
+        async with httpcore.AsyncHTTPConnection(origin) as connection:
+            response = await connection.request(
+                method,
+                f'http://127.0.0.1:{origin.port}{path}',
+                headers={'Host': 'x', **given},
+                **kwargs,
+            )
+        names = {n.lower().decode(): v for n, v in response.headers}
+        return Answer(response.status, names, response.content)
+
+    async def issue(self, host: str) -> str:
+        """Look up one idempotency key."""
+        path = '/.wigeonhatch/v1/lookup?service=svc&client=10.0.0.1&keys=1'
+        answer = await self.call(host, path=path)
+        return str(answer.json['keys'][0])
+
+    async def send_raw(self, host: str, data: bytes) -> bytes:
+        """Send bytes to the callers' interface, close and read all."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.port_by_host[host]
+        )
+        writer.write(data)
+        content = await reader.read()
+        writer.close()
+        return content
+
+
+@dataclasses.dataclass
+class Answer:
+    """Response to a caller."""
+
+    status: int
+    headers: dict[str, bytes]
+    content: bytes
+
+    @property
+    def json(self) -> typing.Any:
+        """Decoded body."""
+        return msgspec.json.decode(self.content)
+
+    @property
+    def verdict(self) -> tuple[str, str]:
+        """Name of the result and whether the request ran."""
+        return self.json['name'], self.json['ran']
+
+
+def keyed(key: str) -> dict[str, str]:
+    """Headers of a non-idempotent request."""
+    return {'Wigeonhatch-Non-Idempotent': '1', 'Idempotency-Key': key}
+
+
+@contextlib.asynccontextmanager
+async def running() -> collections.abc.AsyncIterator[Rig]:
+    """Run the hosts."""
+    logging.getLogger('uvicorn.error').setLevel(logging.WARNING)
+    rig = Rig()
+    servers = []
+    for name, region in (('h1', 'r1'), ('h2', 'r2'), ('h3', 'r2')):
+        host = rig.hosts[name] = Host(rig, name, region)
+        peer_server = grpc_server.Server([host])
+        await peer_server.start('127.0.0.1', 0)
+        sockets = peer_server._server.sockets  # type: ignore[union-attr]
+        rig.peer_ports[name] = sockets[0].getsockname()[1]
+        rig.peer_servers[name] = peer_server
+
+        async def serve(
+            scope: typing.Any,
+            receive: typing.Any,
+            send: typing.Any,
+            host: Host = host,
+        ) -> None:
+            await host.application(scope, receive, send)
+
+        config = server.build_server_config(
+            typing.cast('typing.Any', serve), '127.0.0.1:1', LIMITS
+        )
+        config.port = 0
+        http_server = uvicorn.Server(config)
+        config.load()
+        http_server.lifespan = config.lifespan_class(config)
+        await http_server.startup()
+        listener = http_server.servers[0].sockets[0]
+        rig.port_by_host[name] = listener.getsockname()[1]
+        servers.append(http_server)
+    try:
+        yield rig
+    finally:
+        for host in rig.hosts.values():
+            host.close()
+        for peer_server in rig.peer_servers.values():
+            peer_server.close()
+        for http_server in servers:
+            http_server.should_exit = True
+            http_server.force_exit = True
+            await http_server.shutdown()
--- /dev/null
+++ b/tests/requests/test_paths.py
@@ -0,0 +1,335 @@
+"""Tests of requests from the caller to the target and back."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import gc
+import tracemalloc
+import typing
+
+import pytest
+
+from tests.requests import rig as rigs
+from tests.targets import scripted
+from wigeonhatch import codes
+from wigeonhatch.requests import dependencies
+
+RESULT = dependencies.AttemptResult
+NOT_RUN = codes.Ran.NOT_RUN.value
+UNKNOWN = codes.Ran.UNKNOWN.value
+# Host that callers use, and host that owns the target.
+ROUTES = [('h1', 'h1'), ('h1', 'h2'), ('h2', 'h3')]
+SHED = scripted.respond(
+    b'', status=503, headers=b'Wigeonhatch-Ran: not run\r\n'
+)
+
+
+def route(rig: rigs.Rig, *names: str) -> None:
+    """Set the routes of the host that callers use."""
+    rig.hosts[names[0]].routed = list(names[1:])
+
+
+@pytest.mark.parametrize('entry,owner', ROUTES)
+@scripted.on_loop
+async def test_response_is_complete_and_own(entry: str, owner: str) -> None:
+    """Guards against lost, mixed or altered bytes on each kind of route."""
+
+    async def echo(seen: scripted.Seen, writer: scripted.Writer) -> None:
+        await scripted.respond(seen.body, headers=b'X-A: b\r\n')(seen, writer)
+
+    async with rigs.running() as rig, scripted.ScriptedTarget(echo) as target:
+        rig.place(owner, target, limit=20)
+        route(rig, entry, owner)
+        bodies = [b'%d,' % i * (i * 997 % 19_000) for i in range(12)]
+
+        async def call(body: bytes) -> rigs.Answer:
+            return await rig.call(entry, 'PUT', content=body)
+
+        answers = []
+        for start in range(0, len(bodies), 6):
+            calls = [call(body) for body in bodies[start : start + 6]]
+            answers += await asyncio.gather(*calls)
+        assert [answer.content for answer in answers] == bodies
+        assert {answer.headers['x-a'] for answer in answers} == {b'b'}
+        head = target.seen[0].head.lower()
+        deadline = head.split(b'wigeonhatch-deadline-ms: ')[1].split(b'\r')[0]
+        assert 0 < int(deadline) <= rigs.LIMITS.default_deadline_ms
+        assert head.count(b'wigeonhatch-request-id: ') == 1
+        assert not rig.hosts[owner].slots.grants
+        taken = rig.hosts['h1'].links.taken + rig.hosts['h2'].links.taken
+        sent_bytes = sum(size for _, size, _ in taken)
+        is_far = (entry, owner) == ('h1', 'h2')
+        assert (sent_bytes > 2 * sum(map(len, bodies))) == is_far
+
+
+@pytest.mark.parametrize('entry,owner', ROUTES)
+@scripted.on_loop
+async def test_large_upload_uses_little_memory(entry: str, owner: str) -> None:
+    """Guards against a body that is collected before it is passed on."""
+    part = b'u' * 65_536
+    count = 800
+
+    async def parts() -> collections.abc.AsyncIterator[bytes]:
+        for _ in range(count):
+            yield part
+
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.respond(b'up')) as target,
+    ):
+        rig.place(owner, target)
+        route(rig, entry, owner)
+        gc.collect()
+        tracemalloc.start()
+        answer = await rig.call(
+            entry,
+            'PUT',
+            headers={'Content-Length': str(count * len(part))},
+            content=parts(),
+        )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert answer.content == b'up'
+        assert target.seen[0].body_bytes == count * len(part)
+        assert peak_bytes < 16 * 1024 * 1024
+
+
+BROKEN: dict[str, scripted.Script] = {
+    'short': scripted.respond(b'x' * 300_000, declared=400_000),
+    'chunked': scripted.send_raw(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'40000\r\n' + b'x' * 0x40000 + b'\r\n'
+    ),
+}
+
+
+@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('fault', BROKEN)
+@scripted.on_loop
+async def test_broken_response_never_looks_complete(
+    entry: str, owner: str, fault: str
+) -> None:
+    """Guards against a caller that takes a part for the whole response."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(BROKEN[fault]) as target,
+    ):
+        rig.place(owner, target)
+        route(rig, entry, owner)
+        raw = await rig.send_raw(
+            entry, b'GET /svc/x HTTP/1.1\r\nHost: x\r\n\r\n'
+        )
+        if raw.startswith(b'HTTP/1.1 200'):
+            head, _, rest = raw.partition(b'\r\n\r\n')
+            assert b'400000' in head or b'chunked' in head
+            assert len(rest) < 400_000
+            assert not rest.endswith(b'0\r\n\r\n')
+        else:
+            assert b'RESPONSE_INCOMPLETE' in raw
+        assert not rig.hosts[owner].slots.grants
+
+
+@pytest.mark.parametrize('entry,owner', ROUTES)
+@scripted.on_loop
+async def test_caller_that_leaves_cancels_its_request(
+    entry: str, owner: str
+) -> None:
+    """Guards against slots held for callers that have gone."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.hang) as target,
+    ):
+        rig.place(owner, target)
+        route(rig, entry, owner)
+        call = asyncio.ensure_future(rig.call(entry))
+        await scripted.until(lambda: target.seen)
+        assert len(rig.hosts[owner].slots.grants) == 1
+        call.cancel()
+        await scripted.until(lambda: not rig.hosts[owner].slots.grants)
+        await scripted.until(lambda: not target.open_count)
+        assert rig.hosts[owner].slots.results == [RESULT.CANCELLED]
+
+
+@scripted.on_loop
+async def test_slow_reader_does_not_hold_a_small_response() -> None:
+    """Guards against a slot that waits for the caller to read."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.respond(b'x' * 60_000)) as target,
+    ):
+        rig.place('h1', target)
+        _, writer = await asyncio.open_connection(
+            '127.0.0.1', rig.port_by_host['h1']
+        )
+        writer.write(b'GET /svc/x HTTP/1.1\r\nHost: x\r\n\r\n')
+        slots = rig.hosts['h1'].slots
+        await scripted.until(lambda: slots.results == [RESULT.SERVED])
+        writer.close()
+
+
+# Outcome of one attempt, and the refusal when no retry is possible.
+ATTEMPTS = {
+    'shed': (SHED, 'TARGET_SHED', NOT_RUN, RESULT.SHED),
+    'lost': (scripted.drop, 'TARGET_LOST', UNKNOWN, RESULT.LOST),
+    'garbage': (
+        scripted.send_raw(b'garbage\r\n\r\n'),
+        'TARGET_PROTOCOL',
+        UNKNOWN,
+        RESULT.LOST,
+    ),
+    'hang': (
+        scripted.hang,
+        'DEADLINE_EXCEEDED_RUNNING',
+        UNKNOWN,
+        RESULT.TIMEOUT,
+    ),
+}
+
+
+@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('name', ATTEMPTS)
+@scripted.on_loop
+async def test_refusal_tells_the_truth(
+    entry: str, owner: str, name: str
+) -> None:
+    """Guards against "not run" for a request that a target received, and
+    against a slot that is not returned with the right result."""
+    script, code, ran, result = ATTEMPTS[name]
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(script) as target,
+    ):
+        rig.place(owner, target)
+        route(rig, entry, owner)
+        headers = {'Wigeonhatch-Deadline-Ms': '400'}
+        answer = await rig.call(entry, headers=headers)
+        assert answer.verdict == (code, ran)
+        assert answer.headers['wigeonhatch-ran'] == ran.encode()
+        assert set(rig.hosts[owner].slots.results) == {result}
+        # A remote host is not asked again; local attempts are repeated.
+        tries = 1 if name == 'hang' or entry != owner else 3
+        assert len(target.seen) == tries
+
+
+@scripted.on_loop
+async def test_plain_503_is_the_response_of_the_target() -> None:
+    """Guards against "not run" for a 503 that does not say so, and against
+    a target that imitates a refusal of this program."""
+    script = scripted.respond(
+        b'busy', status=503, headers=b'Wigeonhatch-Code: 201\r\n'
+    )
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(script) as target,
+    ):
+        rig.place('h1', target)
+        answer = await rig.call('h1')
+        assert (answer.status, answer.content) == (503, b'busy')
+        assert 'wigeonhatch-code' not in answer.headers
+        assert rig.hosts['h1'].slots.results == [RESULT.SERVED]
+
+
+@scripted.on_loop
+async def test_idempotent_request_is_retried_within_the_budget() -> None:
+    """Guards against failures that a retry hides, and against retries that
+    multiply an overload."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(
+            scripted.drop, SHED, scripted.respond(b'third')
+        ) as target,
+    ):
+        rig.place('h1', target)
+        assert (await rig.call('h1')).content == b'third'
+        target.scripts = [SHED]
+        target.seen.clear()
+        for _ in range(30):
+            await rig.call('h1')
+        # 30 requests, 8 saved retries and 10% of the requests.
+        assert 38 <= len(target.seen) <= 42
+
+
+@scripted.on_loop
+async def test_full_host_is_passed_over() -> None:
+    """Guards against a refusal while another route has a free slot."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.respond(b'far')) as target,
+    ):
+        rig.place('h2', target)
+        route(rig, 'h1', 'h1', 'h2')
+        assert (await rig.call('h1')).content == b'far'
+        rig.hosts['h1'].links.has_room = False
+        answer = await rig.call('h1')
+        assert answer.verdict == ('LINK_FULL', NOT_RUN)
+        del rig.peer_ports['h2']
+        answer = await rig.call('h1')
+        assert answer.verdict == ('PEER_UNREACHABLE', NOT_RUN)
+
+
+@scripted.on_loop
+async def test_lost_peer_is_unknown() -> None:
+    """Guards against "not run" when the owner is lost after the head."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.hang) as target,
+    ):
+        rig.place('h2', target)
+        route(rig, 'h1', 'h2')
+        call = asyncio.ensure_future(rig.call('h1'))
+        await scripted.until(lambda: target.seen)
+        rig.hosts['h1']._channels['h2'].close()
+        answer = await call
+        assert answer.verdict == ('PEER_LOST', UNKNOWN)
+        await scripted.until(lambda: not rig.hosts['h2'].slots.grants)
+
+
+@scripted.on_loop
+async def test_preempted_request_is_repeated() -> None:
+    """Guards against a reclaimed slot whose request is lost, and against a
+    reclaim that breaks a response off."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(
+            scripted.hang, scripted.respond(b'again')
+        ) as target,
+    ):
+        rig.place('h1', target)
+        call = asyncio.ensure_future(rig.call('h1'))
+        await scripted.until(lambda: target.seen)
+        slots = rig.hosts['h1'].slots
+        preempt: typing.Any = slots.grants[0].demand.on_preempt
+        preempt()
+        assert (await call).content == b'again'
+        assert slots.results == [RESULT.CANCELLED, RESULT.SERVED]
+
+
+@scripted.on_loop
+async def test_interrupted_upload_is_reported() -> None:
+    """Guards against an upload that ends early and counts as complete, on
+    the local route and across the hop."""
+
+    async def parts() -> collections.abc.AsyncIterator[bytes]:
+        yield b'a' * 100_000
+        raise ConnectionError
+
+    for owner in ('h1', 'h2'):
+        async with (
+            rigs.running() as rig,
+            scripted.ScriptedTarget(scripted.respond()) as target,
+        ):
+            rig.place(owner, target)
+            route(rig, 'h1', owner)
+            with pytest.raises(ConnectionError):
+                await rig.call(
+                    'h1',
+                    'PUT',
+                    headers={'Content-Length': '300000'},
+                    content=parts(),
+                )
+            host = rig.hosts[owner]
+            await scripted.until(lambda: host.slots.results)  # noqa: B023
+            assert host.slots.results == [RESULT.CANCELLED]
+            assert [item.body_bytes for item in target.seen] != [300_000]
+            await scripted.until(lambda: not target.open_count)  # noqa: B023
--- /dev/null
+++ b/tests/targets/scripted.py
@@ -0,0 +1,228 @@
+"""Target on raw sockets whose behaviour a test sets per request."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+import functools
+import typing
+
+import anyio
+
+from wigeonhatch.config import model
+
+HANG_S = 30
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request as the target received it."""
+
+    head: bytes
+    body_bytes: int = 0
+    body: bytes = b''
+
+    @property
+    def target_path(self) -> bytes:
+        """Path of the request line."""
+        return self.head.split(b' ', 2)[1]
+
+
+Writer = asyncio.StreamWriter
+Script = collections.abc.Callable[
+    [Seen, Writer], collections.abc.Awaitable[None]
+]
+
+
+class Close(Exception):
+    """Raised by a script to close the connection."""
+
+
+def respond(
+    body: bytes = b'ok',
+    status: int = 200,
+    declared: int | None = None,
+    headers: bytes = b'',
+    delay_s: float = 0,
+) -> Script:
+    """Respond with a length that may differ from the body's."""
+
+    async def script(seen: Seen, writer: Writer) -> None:
+        await asyncio.sleep(delay_s)
+        length = len(body) if declared is None else declared
+        writer.write(
+            b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b'
+            % (status, length, headers, body)
+        )
+        await writer.drain()
+        if declared is not None:
+            raise Close
+
+    return script
+
+
+def send_raw(data: bytes, close: bool = True) -> Script:
+    """Send arbitrary bytes as the response."""
+
+    async def script(seen: Seen, writer: Writer) -> None:
+        writer.write(data)
+        await writer.drain()
+        if close:
+            raise Close
+
+    return script
+
+
+async def hang(seen: Seen, writer: Writer) -> None:
+    """Never respond."""
+    await asyncio.sleep(HANG_S)
+
+
+async def drop(seen: Seen, writer: Writer) -> None:
+    """Close the connection without a response."""
+    raise Close
+
+
+class ScriptedTarget:
+    """Serve scripts in order; the last one stays in force.
+
+    Args:
+        scripts: What to do with each request.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts)
+        self.seen: list[Seen] = []
+        self.connection_count = 0
+        self.open_count = 0
+        self.address = ''
+        self.reads_body = True
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> ScriptedTarget:
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0, limit=2**20
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: Writer
+    ) -> None:
+        self.connection_count += 1
+        self.open_count += 1
+        watcher: asyncio.Task[None] | None = None
+        try:
+            while True:
+                seen = Seen(await reader.readuntil(b'\r\n\r\n'))
+                self.seen.append(seen)
+                if self.reads_body:
+                    await _read_body(seen, reader)
+                script = self.scripts[0]
+                if len(self.scripts) > 1:
+                    self.scripts.pop(0)
+                task = asyncio.ensure_future(script(seen, writer))
+                watcher = asyncio.ensure_future(_cancel_at_end(reader, task))
+                await task
+                watcher.cancel()
+        except (Close, asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            pass
+        finally:
+            if watcher is not None:
+                watcher.cancel()
+            self.open_count -= 1
+            writer.close()
+
+
+async def _cancel_at_end(
+    reader: asyncio.StreamReader, task: asyncio.Future[None]
+) -> None:
+    # at_eof() becomes true without consuming bytes of a later request.
+    while not reader.at_eof() and reader.exception() is None:
+        await asyncio.sleep(0.002)
+    task.cancel()
+
+
+async def _read_body(seen: Seen, reader: asyncio.StreamReader) -> None:
+    lowered = seen.head.lower()
+    if b'transfer-encoding: chunked' in lowered:
+        while True:
+            size = int(await reader.readline(), 16)
+            seen.body_bytes += len(await reader.readexactly(size))
+            await reader.readexactly(2)
+            if size == 0:
+                return
+    marker = b'content-length: '
+    if marker in lowered:
+        left = int(lowered.split(marker)[1].split(b'\r\n')[0])
+        while left:
+            part = await reader.read(min(left, 65_536))
+            if not part:
+                raise Close
+            left -= len(part)
+            seen.body_bytes += len(part)
+            if seen.body_bytes <= 65_536:
+                seen.body += part
+
+
+def build_config(
+    address_by_target: dict[str, str], connections: int = 10
+) -> model.VersionedConfig:
+    """Build a configuration with one service `svc` and its targets."""
+    cap = model.Cap(10.0, 1_000)
+    service = model.Service(4, connections, {'r1': 50.0, 'r2': 50.0}, cap)
+    hosts = {
+        name: model.Host(domain, '127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3')
+        for name, domain in (('h1', 'd1'), ('h2', 'd2'), ('h3', 'd2'))
+    }
+    return model.VersionedConfig(
+        1,
+        'c1',
+        model.SteeringConfig(
+            region_by_name={
+                'r1': model.Region(['d1']),
+                'r2': model.Region(['d2']),
+            },
+            host_by_name=hosts,
+            service_by_name={'svc': service},
+            target_by_name={
+                name: model.Target('svc', 'd1', address)
+                for name, address in address_by_target.items()
+            },
+            customer_by_name={'gold': model.Customer({'svc': 50.0})},
+        ),
+        {},
+    )
+
+
+def on_loop(
+    test: collections.abc.Callable[..., collections.abc.Awaitable[None]],
+) -> typing.Any:
+    """Run an asynchronous test on the event loop of the daemon."""
+
+    @functools.wraps(test)
+    def run(*args: typing.Any, **kwargs: typing.Any) -> None:
+        async def bounded() -> None:
+            # Far above any test's duration; only a hang ends here.
+            with anyio.fail_after(60):
+                await test(*args, **kwargs)
+
+        anyio.run(bounded, backend_options={'use_uvloop': True})
+
+    return run
+
+
+async def until(
+    condition: collections.abc.Callable[[], object],
+) -> None:
+    """Wait until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.002)
--- /dev/null
+++ b/tests/targets/test_client.py
@@ -0,0 +1,255 @@
+"""Tests of the client of the targets, against raw sockets."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from tests.targets import scripted
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.targets import client as target_client
+
+CLOCK = clocks.Clock()
+CODE = codes.ResultCode
+GET = target_client.RequestHead('GET', b'/svc/x', ((b'x-a', b'b'),), 0)
+
+
+@contextlib.asynccontextmanager
+async def connected(
+    *scripts: scripted.Script, connections: int = 10
+) -> collections.abc.AsyncIterator[
+    tuple[target_client.TargetClient, scripted.ScriptedTarget]
+]:
+    """Run a scripted target and a client configured for it."""
+    async with scripted.ScriptedTarget(*scripts) as target:
+        client = target_client.TargetClient(CLOCK)
+        config = scripted.build_config({'t1': target.address}, connections)
+        client.configure(config)
+        yield client, target
+        client.close()
+
+
+async def fetch(
+    client: target_client.TargetClient,
+    head: target_client.RequestHead = GET,
+    body: bytes | collections.abc.AsyncIterator[bytes] = b'',
+    within_ms: int = 5_000,
+) -> bytes | outcome.Failure:
+    """Send a request and read the complete response."""
+    sent = await client.send('t1', head, body, CLOCK.now_ms + within_ms)
+    if isinstance(sent, outcome.Failure):
+        return sent
+    content = b''
+    while True:
+        part = await sent.value.read()
+        if part is None:
+            return content
+        if isinstance(part, outcome.Failure):
+            return part
+        content += part
+
+
+@scripted.on_loop
+async def test_connection_is_reused() -> None:
+    """Guards against one connection per request."""
+    async with connected(scripted.respond(b'a'), scripted.respond(b'b')) as (
+        client,
+        target,
+    ):
+        assert await fetch(client) == b'a'
+        assert await fetch(client) == b'b'
+        assert target.connection_count == 1
+        assert target.seen[0].target_path == b'/svc/x'
+
+
+FAULTY = {
+    'short': (scripted.respond(b'half', declared=8), CODE.RESPONSE_INCOMPLETE),
+    'no end of chunks': (
+        scripted.send_raw(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf'
+            b'\r\n'
+        ),
+        CODE.RESPONSE_INCOMPLETE,
+    ),
+    'no length': (
+        scripted.send_raw(b'HTTP/1.1 200 OK\r\n\r\nhalf'),
+        CODE.TARGET_PROTOCOL,
+    ),
+    'two lengths': (
+        scripted.send_raw(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: '
+            b'chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n'
+        ),
+        CODE.TARGET_PROTOCOL,
+    ),
+    'garbage': (scripted.send_raw(b'\0\1garbage'), CODE.TARGET_PROTOCOL),
+    'half a head': (scripted.send_raw(b'HTTP/1.1 200'), CODE.TARGET_LOST),
+    'endless head': (
+        scripted.send_raw(b'HTTP/1.1 200 OK\r\nX: ' + b'x' * 300_000),
+        CODE.TARGET_PROTOCOL,
+    ),
+    'early close': (scripted.drop, CODE.TARGET_LOST),
+    'switch': (
+        scripted.send_raw(b'HTTP/1.1 101 Switching\r\n\r\n'),
+        CODE.TARGET_PROTOCOL,
+    ),
+    'hang': (scripted.hang, CODE.DEADLINE_EXCEEDED_RUNNING),
+}
+
+
+@pytest.mark.parametrize('fault', FAULTY)
+@scripted.on_loop
+async def test_faulty_response_is_never_complete(fault: str) -> None:
+    """Guards against a broken response that is passed on as complete, or
+    that leaves bytes for the next request."""
+    script, code = FAULTY[fault]
+    async with connected(script, scripted.respond(b'mine')) as (client, _):
+        result = await fetch(client, within_ms=300)
+        assert isinstance(result, outcome.Failure), result
+        assert result.code is code, result
+        assert result.ran is not codes.Ran.NOT_RUN
+        assert await fetch(client) == b'mine'
+        await scripted.until(lambda: client.connections('t1') == 1)
+
+
+@scripted.on_loop
+async def test_surplus_bytes_do_not_answer_the_next_request() -> None:
+    """Guards against a second response in the parser of a connection."""
+    surplus = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
+    double = scripted.send_raw(surplus + b'first' + surplus + b'other', False)
+    async with connected(double, scripted.respond(b'mine')) as (client, _):
+        assert await fetch(client) == b'first'
+        assert await fetch(client) == b'mine'
+
+
+@scripted.on_loop
+async def test_late_response_is_closed_with_its_connection() -> None:
+    """Guards against a response that arrives after its deadline reaching the
+    next request."""
+    async with connected(
+        scripted.respond(b'late', delay_s=0.3), scripted.respond(b'mine')
+    ) as (client, target):
+        result = await fetch(client, within_ms=100)
+        assert isinstance(result, outcome.Failure)
+        assert await fetch(client) == b'mine'
+        await anyio.sleep(0.4)
+        assert await fetch(client) == b'mine'
+        assert target.connection_count == 2
+
+
+@scripted.on_loop
+async def test_closed_idle_connection_is_not_used() -> None:
+    """Guards against a request on a connection that the target closed."""
+
+    async def close_after(
+        seen: scripted.Seen, writer: scripted.Writer
+    ) -> None:
+        await scripted.respond(b'a')(seen, writer)
+        raise scripted.Close
+
+    async with connected(close_after, scripted.respond(b'b')) as (
+        client,
+        target,
+    ):
+        assert await fetch(client) == b'a'
+        await scripted.until(lambda: target.open_count == 0)
+        assert await fetch(client) == b'b'
+        assert len(target.seen) == 2
+
+
+@scripted.on_loop
+async def test_refused_connection_is_certainly_not_run() -> None:
+    """Guards against "unknown" where nothing was sent."""
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{unused.getsockname()[1]}'
+        client = target_client.TargetClient(CLOCK)
+        client.configure(scripted.build_config({'t1': address}))
+        result = await fetch(client)
+    assert isinstance(result, outcome.Failure)
+    assert result.code is CODE.TARGET_CONNECT_FAILED
+    assert result.ran is codes.Ran.NOT_RUN
+    assert client.connections('t1') == 0
+
+
+@scripted.on_loop
+async def test_connection_limit_holds() -> None:
+    """Guards against more connections than a target accepts, and against a
+    slow target that blocks requests to others."""
+    async with (
+        connected(scripted.hang, connections=2) as (client, target),
+        scripted.ScriptedTarget(scripted.respond()) as other,
+        anyio.create_task_group() as tasks,
+    ):
+        client.configure(
+            scripted.build_config({'t1': target.address, 't2': other.address})
+        )
+        client.configure(
+            scripted.build_config(
+                {'t1': target.address, 't2': other.address}, 2
+            )
+        )
+        tasks.start_soon(fetch, client)
+        tasks.start_soon(fetch, client)
+        await scripted.until(lambda: len(target.seen) == 2)
+        refused = await fetch(client)
+        assert isinstance(refused, outcome.Failure)
+        assert refused.code is CODE.NO_CAPACITY
+        deadline_ms = CLOCK.now_ms + 5_000
+        sent = await client.send('t2', GET, b'', deadline_ms)
+        assert isinstance(sent, outcome.Success)
+        await sent.value.close()
+        tasks.cancel_scope.cancel()
+
+
+@scripted.on_loop
+async def test_cancelled_request_closes_its_connection() -> None:
+    """Guards against work at the target that nobody waits for."""
+    async with connected(scripted.hang) as (client, target):
+        with anyio.move_on_after(0.1):
+            await fetch(client)
+        await scripted.until(lambda: target.open_count == 0)
+        assert client.connections('t1') == 0
+
+
+@scripted.on_loop
+async def test_body_that_breaks_off_is_not_complete_at_the_target() -> None:
+    """Guards against a target that takes a broken upload for a whole one."""
+
+    async def parts() -> collections.abc.AsyncIterator[bytes]:
+        yield b'a' * 100
+        raise target_client.BodyInterrupted(outcome.Failure(CODE.CALLER_GONE))
+
+    async with connected(scripted.respond(b'done')) as (client, target):
+        for length in (-1, 200):
+            head = target_client.RequestHead('PUT', b'/svc/x', (), length)
+            result = await fetch(client, head, parts())
+            assert isinstance(result, outcome.Failure)
+            assert result.code is CODE.CALLER_GONE
+            assert result.ran is codes.Ran.UNKNOWN
+        await scripted.until(lambda: target.open_count == 0)
+        assert target.scripts
+
+
+@scripted.on_loop
+async def test_target_that_responds_early_and_stops_reading() -> None:
+    """Guards against an upload that waits until its deadline although the
+    target has already responded."""
+
+    async def parts() -> collections.abc.AsyncIterator[bytes]:
+        for _ in range(400):
+            yield b'a' * 65_536
+
+    head = target_client.RequestHead('PUT', b'/svc/x', (), 400 * 65_536)
+    async with connected(scripted.respond(b'no', status=413)) as (
+        client,
+        target,
+    ):
+        target.reads_body = False
+        assert await fetch(client, head, parts(), within_ms=20_000) == b'no'
--- /dev/null
+++ b/wigeonhatch/requests/_head.py
@@ -0,0 +1,189 @@
+"""Checks of the head of a caller's request."""
+
+from __future__ import annotations
+
+import collections.abc
+import functools
+import itertools
+import secrets
+import typing
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch import settings
+from wigeonhatch.config import model as config_model
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import keys
+from wigeonhatch.requests import model
+from wigeonhatch.steering import buckets
+
+Scope = collections.abc.MutableMapping[str, typing.Any]
+Parsed = tuple[model.CallerRequest, int]
+
+_MAX_ID_BYTES = 128
+_PROCESS_ID = secrets.token_hex(6)
+_NUMBERS = itertools.count(1)
+_CACHED_BUCKETS = 65_536
+
+
+def choose_request_id(given: bytes | None) -> str:
+    """Take over or make the identity of a request.
+
+    Args:
+        given: Identity that the caller sent, if any.
+    """
+    if given and len(given) <= _MAX_ID_BYTES and given.isascii():
+        text = given.decode('ascii')
+        if text.isprintable():
+            return text
+    return f'{_PROCESS_ID}-{next(_NUMBERS):x}'
+
+
+@functools.lru_cache(_CACHED_BUCKETS)
+def find_bucket(service: str, address: str) -> int | None:
+    """Find the hash bucket of a client.
+
+    Args:
+        service: Name of the service.
+        address: Client address as text.
+
+    Returns:
+        The bucket; None if the text is no address.
+    """
+    block = buckets.client_block(address)
+    return None if block is None else buckets.bucket_of(service, block)
+
+
+def client_address(scope: Scope) -> str:
+    """Name the address of the connection.
+
+    Args:
+        scope: ASGI scope.
+    """
+    client = scope.get('client')
+    return client[0] if client else ''
+
+
+def parse_head(
+    scope: Scope,
+    request_id: str,
+    by_name: collections.abc.Mapping[bytes, bytes],
+    versioned: config_model.VersionedConfig | None,
+    limits: settings.Limits,
+    now_ms: int,
+) -> Parsed | outcome.Failure:
+    """Check the head of a request for a service.
+
+    Args:
+        scope: ASGI scope.
+        request_id: Identity of the request.
+        by_name: Value of each header field.
+        versioned: Configuration in force, if any.
+        limits: Limits at the edges.
+        now_ms: Monotonic time in ms.
+
+    Returns:
+        The checked head and the declared body length (-1 if there is none),
+        or the refusal.
+    """
+    code = codes.ResultCode
+    if versioned is None:
+        return outcome.Failure(code.NOT_READY)
+    size = sum(len(name) + len(value) for name, value in scope['headers'])
+    size += len(scope['raw_path']) + len(scope['query_string'])
+    if size > limits.max_header_bytes:
+        return outcome.Failure(
+            code.HEADER_TOO_LARGE,
+            f'{size} bytes, the limit is {limits.max_header_bytes}',
+        )
+    path: bytes = scope['raw_path']
+    segment = path[1:].partition(b'/')[0]
+    service = segment.decode('ascii', 'replace')
+    if service not in versioned.config.service_by_name:
+        return outcome.Failure(
+            code.UNKNOWN_SERVICE, f'no service {service[:64]!r}'
+        )
+    client = by_name.get(fields.CLIENT)
+    address = (
+        client_address(scope)
+        if client is None
+        else client.decode('ascii', 'replace')
+    )
+    bucket = find_bucket(service, address)
+    if bucket is None:
+        return outcome.Failure(
+            code.BAD_CLIENT_ADDRESS, f'{address[:64]!r} is no IP address'
+        )
+    customer = by_name.get(fields.CUSTOMER, b'').decode('utf-8', 'replace')
+    if customer and customer not in versioned.config.customer_by_name:
+        return outcome.Failure(
+            code.UNKNOWN_CUSTOMER, f'no customer {customer[:64]!r}'
+        )
+    deadline = _parse_deadline(by_name.get(fields.DEADLINE), limits)
+    if isinstance(deadline, outcome.Failure):
+        return deadline
+    is_idempotent = by_name.get(fields.NON_IDEMPOTENT, b'0') == b'0'
+    key = '' if is_idempotent else _read_key(by_name)
+    if not is_idempotent and not key:
+        return outcome.Failure(code.KEY_REQUIRED)
+    if key and keys.parse_key(key) is None:
+        return outcome.Failure(code.KEY_MALFORMED)
+    length = _parse_length(by_name, limits)
+    if isinstance(length, outcome.Failure):
+        return length
+    if scope['query_string']:
+        path += b'?' + scope['query_string']
+    request = model.CallerRequest(
+        request_id,
+        service,
+        scope['method'],
+        path,
+        fields.filter_request(scope['headers']),
+        now_ms + deadline,
+        customer,
+        is_idempotent,
+        key,
+        address,
+        bucket,
+    )
+    return request, length
+
+
+def _read_key(by_name: collections.abc.Mapping[bytes, bytes]) -> str:
+    return by_name.get(fields.KEY, b'').decode('ascii', 'replace')
+
+
+def _parse_deadline(
+    value: bytes | None, limits: settings.Limits
+) -> int | outcome.Failure:
+    if value is None:
+        return limits.default_deadline_ms
+    if value.isdigit() and len(value) < 10:
+        deadline_ms = int(value)
+        if 0 < deadline_ms <= limits.max_deadline_ms:
+            return deadline_ms
+    return outcome.Failure(
+        codes.ResultCode.DEADLINE_INVALID,
+        f'{value[:32]!r} is not from 1 to {limits.max_deadline_ms} ms',
+    )
+
+
+def _parse_length(
+    by_name: collections.abc.Mapping[bytes, bytes], limits: settings.Limits
+) -> int | outcome.Failure:
+    if b'transfer-encoding' in by_name:
+        return -1
+    value = by_name.get(b'content-length')
+    if value is None:
+        return 0
+    if not value.isdigit():
+        return outcome.Failure(
+            codes.ResultCode.BAD_REQUEST, 'content-length is no number'
+        )
+    length = int(value[:20])
+    if length > limits.max_body_bytes:
+        return outcome.Failure(
+            codes.ResultCode.BODY_TOO_LARGE,
+            f'{length} bytes, the limit is {limits.max_body_bytes}',
+        )
+    return length
--- /dev/null
+++ b/wigeonhatch/requests/application.py
@@ -0,0 +1,380 @@
+"""ASGI application of the callers' interface."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import ipaddress
+import logging
+import typing
+import urllib.parse
+
+import anyio
+import msgspec
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch import settings
+from wigeonhatch.requests import _head
+from wigeonhatch.requests import _replies
+from wigeonhatch.requests import attempts
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import dependencies
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import model
+
+LOG = logging.getLogger(__name__)
+
+LOOKUP_PATH = '/.wigeonhatch/v1/lookup'
+HEALTH_PATH = '/.wigeonhatch/v1/health'
+ABORT_EXTENSION = 'wigeonhatch.abort'
+_OWN_PREFIX = '/.wigeonhatch'
+
+Message = collections.abc.MutableMapping[str, typing.Any]
+Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
+Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
+Lookup = collections.abc.Callable[
+    [str, str, int], outcome.Success[typing.Any] | outcome.Failure
+]
+DescribeHealth = collections.abc.Callable[
+    [], collections.abc.Mapping[str, object]
+]
+
+
+class _AsgiReply:
+    """Send a response to the caller."""
+
+    def __init__(self, send: Send, is_head: bool) -> None:
+        self.is_started = False
+        self.is_finished = False
+        self._send = send
+        self._is_head = is_head
+        self._length = -1
+        self._count = 0
+
+    async def start(
+        self, status: int, headers: fields.HeaderTuple
+    ) -> outcome.Failure | None:
+        self.is_started = True
+        if not self._is_head:
+            length = fields.find(headers, b'content-length')
+            self._length = -1 if length is None else int(length)
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        return None
+
+    async def write(
+        self, part: bytes, is_last: bool
+    ) -> outcome.Failure | None:
+        self._count += len(part)
+        if self._length >= 0 and (
+            self._count > self._length
+            or (is_last and self._count != self._length)
+        ):
+            LOG.error(
+                'INVARIANT_VIOLATED: %d bytes to the caller, declared %d',
+                self._count,
+                self._length,
+            )
+            return outcome.Failure(
+                codes.ResultCode.INVARIANT_VIOLATED,
+                'the response differs from its declared length',
+                codes.Ran.RAN,
+            )
+        # Set first, because the server wakes up the watcher of the
+        # connection when it has sent the last part.
+        self.is_finished = is_last
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': part,
+                'more_body': not is_last,
+            }
+        )
+        return None
+
+
+class _Caller:
+    """Receive a body and notice when the caller goes away."""
+
+    def __init__(
+        self,
+        receive: Receive,
+        reply: _AsgiReply,
+        control: model.RequestControl,
+        max_gap_ms: int,
+    ) -> None:
+        self._receive = receive
+        self._reply = reply
+        self._control = control
+        self._max_gap_ms = max_gap_ms
+        self._is_ended = False
+        self._watcher: asyncio.Task[None] | None = None
+
+    async def read_part(self) -> bytes | None | outcome.Failure:
+        """Read the next part of the body."""
+        if self._is_ended:
+            return None
+        message: Message | None = None
+        with anyio.move_on_after(self._max_gap_ms / 1_000):
+            message = await self._receive()
+        if message is None:
+            return outcome.Failure(
+                codes.ResultCode.SLOW_SENDER,
+                f'no part of the body for {self._max_gap_ms} ms',
+            )
+        if message['type'] == 'http.disconnect':
+            return outcome.Failure(codes.ResultCode.CALLER_GONE)
+        if not message.get('more_body', False):
+            self._is_ended = True
+            self.watch()
+        return bytes(message.get('body', b''))
+
+    def watch(self) -> None:
+        """Start to watch for the end of the connection."""
+        self._watcher = asyncio.get_running_loop().create_task(self._watch())
+
+    async def _watch(self) -> None:
+        while (await self._receive())['type'] != 'http.disconnect':
+            pass
+        if not self._reply.is_finished:
+            self._control.on_caller_gone()
+
+
+class Application:
+    """Callers' interface of one host.
+
+    Args:
+        clock: Source of monotonic time.
+        limits: Limits at the edges.
+        config: Configuration in force.
+        lookup: Answers a lookup for service, client address and number of
+            keys; the value is encoded as JSON.
+        describe_health: State of this host.
+        runner: Runs the requests.
+        on_finished: Receives the result of each request.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        limits: settings.Limits,
+        config: dependencies.ConfigSource,
+        lookup: Lookup,
+        describe_health: DescribeHealth,
+        runner: attempts.RequestRunner,
+        on_finished: model.OnFinished | None = None,
+    ) -> None:
+        self.in_progress = 0
+        self._clock = clock
+        self._limits = limits
+        self._config = config
+        self._lookup = lookup
+        self._describe_health = describe_health
+        self._runner = runner
+        self._on_finished = on_finished
+        self._encoder = msgspec.json.Encoder()
+
+    async def __call__(
+        self, scope: _head.Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request.
+
+        Args:
+            scope: ASGI scope.
+            receive: Receives the body.
+            send: Sends the response.
+        """
+        if scope['type'] != 'http':
+            return
+        path: str = scope['path']
+        if path.startswith(_OWN_PREFIX):
+            await self._handle_own(scope, path, send)
+            return
+        self.in_progress += 1
+        try:
+            await self.handle_request(scope, receive, send)
+        finally:
+            self.in_progress -= 1
+
+    async def handle_request(
+        self, scope: _head.Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request for a service.
+
+        Args:
+            scope: ASGI scope.
+            receive: Receives the body.
+            send: Sends the response.
+        """
+        started_ms = self._clock.now_ms
+        by_name = dict(scope['headers'])
+        request_id = _head.choose_request_id(by_name.get(fields.REQUEST_ID))
+        parsed = _head.parse_head(
+            scope,
+            request_id,
+            by_name,
+            self._config.current,
+            self._limits,
+            started_ms,
+        )
+        if isinstance(parsed, outcome.Failure):
+            await self._refuse(send, parsed, request_id)
+            self._report(request_id, '', parsed, started_ms)
+            return
+        request, length = parsed
+        reply = _AsgiReply(send, request.method == 'HEAD')
+        control = model.RequestControl()
+        caller = _Caller(receive, reply, control, self._limits.max_body_gap_ms)
+        body = bodies.RequestBody(
+            length, caller.read_part, self._limits.max_body_bytes
+        )
+        result: attempts.Result | None
+        if length == 0:
+            body.is_received = True
+            caller.watch()
+            result = None
+        else:
+            result = await body.buffer()
+        if result is None:
+            result = await self._run(
+                attempts.Exchange(request, body, reply, control)
+            )
+        if isinstance(result, outcome.Failure):
+            if reply.is_started:
+                await _abort(scope)
+            else:
+                reply.is_finished = True
+                await self._refuse(send, result, request_id)
+        self._report(request_id, request.service, result, started_ms)
+
+    async def _run(self, exchange: attempts.Exchange) -> attempts.Result:
+        try:
+            return await self._runner.run(exchange)
+        except Exception:
+            LOG.exception('request %s failed', exchange.request.request_id)
+            return outcome.Failure(codes.ResultCode.INTERNAL)
+
+    async def _handle_own(
+        self, scope: _head.Scope, path: str, send: Send
+    ) -> None:
+        answer: outcome.Success[typing.Any] | outcome.Failure
+        if path == LOOKUP_PATH:
+            answer = self._answer_lookup(scope)
+        elif path == HEALTH_PATH:
+            answer = outcome.Success(self._describe_health())
+        else:
+            answer = outcome.Failure(codes.ResultCode.NOT_FOUND)
+        if isinstance(answer, outcome.Failure):
+            request_id = _head.choose_request_id(None)
+            await self._refuse(send, answer, request_id)
+            return
+        content = self._encoder.encode(answer.value)
+        await _send_response(
+            send,
+            200,
+            [
+                (b'content-type', b'application/json'),
+                (b'content-length', b'%d' % len(content)),
+            ],
+            content,
+        )
+
+    def _answer_lookup(
+        self, scope: _head.Scope
+    ) -> outcome.Success[typing.Any] | outcome.Failure:
+        versioned = self._config.current
+        if versioned is None:
+            return outcome.Failure(codes.ResultCode.NOT_READY)
+        query = dict(
+            urllib.parse.parse_qsl(
+                scope['query_string'].decode('ascii', 'replace'),
+                keep_blank_values=True,
+            )
+        )
+        service = query.get('service', '')
+        if service not in versioned.config.service_by_name:
+            return outcome.Failure(
+                codes.ResultCode.UNKNOWN_SERVICE,
+                f'no service {service[:64]!r}',
+            )
+        client = query.get('client') or _head.client_address(scope)
+        try:
+            ipaddress.ip_address(client)
+        except ValueError:
+            return outcome.Failure(
+                codes.ResultCode.BAD_CLIENT_ADDRESS,
+                f'{client[:64]!r} is no IP address',
+            )
+        count = query.get('keys', '0')
+        limit = self._limits.max_keys_per_lookup
+        if not (count.isdecimal() and len(count) < 6) or int(count) > limit:
+            return outcome.Failure(
+                codes.ResultCode.BAD_REQUEST,
+                f'keys={count[:32]!r} is not from 0 to {limit}',
+            )
+        return self._lookup(service, client, int(count))
+
+    async def _refuse(
+        self, send: Send, failure: outcome.Failure, request_id: str
+    ) -> None:
+        status, headers, body = _replies.render_refusal(failure, request_id)
+        await _send_response(send, status, headers, body)
+
+    def _report(
+        self,
+        request_id: str,
+        service: str,
+        result: attempts.Result,
+        started_ms: int,
+    ) -> None:
+        code = codes.ResultCode.OK
+        if isinstance(result, outcome.Failure):
+            code = result.code
+            LOG.info(
+                'request %s for %s ended with %s (%s): %s',
+                request_id,
+                service or 'no service',
+                code.name,
+                result.ran.value,
+                result.detail,
+            )
+        elif LOG.isEnabledFor(logging.DEBUG):
+            LOG.debug('request %s for %s served', request_id, service)
+        if self._on_finished is not None:
+            self._on_finished(
+                model.RequestSummary(
+                    request_id,
+                    service,
+                    code,
+                    self._clock.now_ms - started_ms,
+                )
+            )
+
+
+async def _send_response(
+    send: Send,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def _abort(scope: _head.Scope) -> None:
+    """Close the connection so that the response is seen as incomplete."""
+    abort = scope.get('extensions', {}).get(ABORT_EXTENSION)
+    if abort is not None:
+        abort()
+        # Lets the server see the end of the connection before the
+        # application returns.
+        await asyncio.sleep(0)
--- /dev/null
+++ b/wigeonhatch/requests/dependencies.py
@@ -0,0 +1,129 @@
+"""What the request path needs from other packages, as protocols."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from wigeonhatch import outcome
+from wigeonhatch.config import model
+
+
+class AttemptResult(enum.Enum):
+    """How an attempt at a target ended."""
+
+    SERVED = 'served'
+    SHED = 'shed'
+    CONNECT_FAILED = 'connect failed'
+    LOST = 'lost'
+    TIMEOUT = 'timeout'
+    CANCELLED = 'cancelled'
+
+
+class TrafficClass(enum.Enum):
+    """Class of bytes on a link between regions."""
+
+    SMALL = 'small'
+    BULK = 'bulk'
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """Request for a slot.
+
+    Args:
+        service: Name of the service.
+        customer: Name of the customer; empty for none.
+        idempotent: Whether the request may run more than once.
+        bucket: Hash bucket of the client.
+        on_preempt: Cancels the attempt; None if it is not preemptible.
+    """
+
+    service: str
+    customer: str
+    idempotent: bool
+    bucket: int
+    on_preempt: collections.abc.Callable[[], None] | None
+
+
+class SlotGrant(typing.Protocol):
+    """One slot of a target."""
+
+    @property
+    def target(self) -> str:
+        """Name of the target."""
+
+    def release(self, result: AttemptResult, latency_ms: int) -> None:
+        """Return the slot."""
+
+
+class SlotTable(typing.Protocol):
+    """Admission to the targets of this host."""
+
+    def acquire(
+        self, demand: Demand
+    ) -> outcome.Success[SlotGrant] | outcome.Failure:
+        """Take a slot without waiting."""
+
+    async def acquire_within(
+        self, demand: Demand, wait_ms: int
+    ) -> outcome.Success[SlotGrant] | outcome.Failure:
+        """Take a slot, waiting if the customer's reservation allows."""
+
+
+class Route(typing.Protocol):
+    """Host that admits to targets in a region."""
+
+    @property
+    def host(self) -> str:
+        """Name of the host."""
+
+    @property
+    def region(self) -> str:
+        """Region of the host."""
+
+    @property
+    def is_local(self) -> bool:
+        """Whether the host is this one."""
+
+
+class Router(typing.Protocol):
+    """Routes of a request, best first."""
+
+    def routes(
+        self, service: str, bucket: int, bulk: bool
+    ) -> collections.abc.Iterator[Route]:
+        """Yield the routes that may be used now."""
+
+    def refusal(self, service: str, bucket: int) -> outcome.Failure:
+        """Explain why there is no route."""
+
+
+class PeerChannels(typing.Protocol):
+    """Channels to the other hosts."""
+
+    def stub(self, host: str) -> typing.Any:
+        """Stub of the peer service; None if the host is unreachable."""
+
+
+class LinkBudget(typing.Protocol):
+    """Byte budgets of the links from this host's region."""
+
+    async def acquire(
+        self,
+        far_region: str,
+        size_bytes: int,
+        traffic_class: TrafficClass,
+        wait_ms: int,
+    ) -> bool:
+        """Take tokens; False if there are none within the wait."""
+
+
+class ConfigSource(typing.Protocol):
+    """Configuration in force."""
+
+    @property
+    def current(self) -> model.VersionedConfig | None:
+        """Configuration in force; None before the first one."""
--- /dev/null
+++ b/wigeonhatch/requests/forward_client.py
@@ -0,0 +1,440 @@
+"""Forward requests to the hosts that admit them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+import logging
+import typing
+
+import anyio
+import grpclib
+import grpclib.exceptions
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.peers import peers_pb2
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import dependencies
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import model
+from wigeonhatch.targets import client as target_client
+
+LOG = logging.getLogger(__name__)
+
+# Messages stay well below the flow control window of a stream.
+PART_BYTES = 65_536
+# A small request waits this long for the link before the next route is used.
+LINK_WAIT_MS = 100
+# Head of a request or response with its framing, without header fields.
+_HEAD_BYTES = 200
+
+Result = outcome.Success[None] | outcome.Failure
+PEER_ERRORS = (
+    OSError,
+    TimeoutError,
+    grpclib.GRPCError,
+    grpclib.exceptions.ProtocolError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """Host that a request is forwarded to.
+
+    Args:
+        host: Name of the host.
+        region: Its region; empty if it has to be looked up.
+        is_owner: Whether the host sends the request to its own targets, as
+            opposed to running it as the issuer of the request's key.
+    """
+
+    host: str
+    region: str
+    is_owner: bool
+
+
+def head_bytes(headers: fields.HeaderTuple) -> int:
+    """Estimate the bytes of a head on the link.
+
+    Args:
+        headers: Header fields.
+    """
+    return _HEAD_BYTES + sum(len(n) + len(v) + 4 for n, v in headers)
+
+
+def split_part(part: bytes) -> collections.abc.Iterator[bytes]:
+    """Split a part into messages.
+
+    Args:
+        part: Bytes of a body.
+
+    Yields:
+        Slices of at most `PART_BYTES`.
+    """
+    if len(part) <= PART_BYTES:
+        yield part
+        return
+    for start in range(0, len(part), PART_BYTES):
+        yield part[start : start + PART_BYTES]
+
+
+def uncancel() -> None:
+    """Forget the cancellation by which grpclib wakes up its waiting tasks.
+
+    grpclib replaces the cancellation by an exception, but leaves the task
+    marked as cancelled, which later cancel scopes would take for their own.
+    """
+    task = asyncio.current_task()
+    while task is not None and task.cancelling() > 0:
+        task.uncancel()
+
+
+class ForwardClient:
+    """Send requests to other hosts over the peer service.
+
+    Args:
+        region: Region of this host.
+        clock: Source of monotonic time.
+        config: Configuration in force, for the regions of hosts.
+        peers: Channels to the other hosts.
+        links: Byte budgets of the links from this region.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        clock: clocks.Clock,
+        config: dependencies.ConfigSource,
+        peers: dependencies.PeerChannels,
+        links: dependencies.LinkBudget,
+    ) -> None:
+        self._region = region
+        self._clock = clock
+        self._config = config
+        self._peers = peers
+        self._links = links
+
+    async def forward(
+        self,
+        destination: Destination,
+        request: model.CallerRequest,
+        body: bodies.RequestBody,
+        reply: model.Reply,
+        progress: model.Progress,
+        on_sent: collections.abc.Callable[[], None],
+    ) -> Result:
+        """Forward a request and pass its response on.
+
+        Args:
+            destination: Host to forward to.
+            request: Checked head.
+            body: Body; sent after admission unless it is small.
+            reply: Where the response goes.
+            progress: Receives whether the host stated the result.
+            on_sent: Called before the first byte is sent.
+
+        Returns:
+            The result as stated by the host, or why there is none.
+        """
+        stub = self._peers.stub(destination.host)
+        if stub is None:
+            return _unreachable(destination.host)
+        region = destination.region or self._region_of(destination.host)
+        if region is None:
+            return _unreachable(destination.host)
+        has_tokens = await self.take_tokens(
+            region,
+            head_bytes(request.headers) + len(body.content),
+            body.is_bulk,
+            min(LINK_WAIT_MS, self.remaining_ms(request)),
+        )
+        if not has_tokens:
+            return outcome.Failure(
+                codes.ResultCode.LINK_FULL, f'link to {region}'
+            )
+        call = _Call(self, destination, region, request, body, reply, progress)
+        try:
+            async with stub.Forward.open() as stream:
+                await call.run(stream, on_sent)
+                if not progress.has_verdict:
+                    # Leaving the stream would wait for its end.
+                    await stream.cancel()
+        except PEER_ERRORS as error:
+            uncancel()
+            if call.result is None:
+                call.result = call.lost(str(error))
+        return call.result or call.lost('no end marker')
+
+    async def take_tokens(
+        self, region: str, size: int, is_bulk: bool, wait_ms: int
+    ) -> bool:
+        """Take link tokens for bytes to a region.
+
+        Args:
+            region: Region of the receiver.
+            size: Bytes to send.
+            is_bulk: Whether they belong to a bulk transfer.
+            wait_ms: Longest wait in ms.
+
+        Returns:
+            Whether the bytes may be sent.
+        """
+        if region in ('', self._region):
+            return True
+        traffic_class = (
+            dependencies.TrafficClass.BULK
+            if is_bulk
+            else dependencies.TrafficClass.SMALL
+        )
+        return await self._links.acquire(region, size, traffic_class, wait_ms)
+
+    def remaining_ms(self, request: model.CallerRequest) -> int:
+        """Time until the deadline of a request in ms, at least 1.
+
+        Args:
+            request: The request.
+        """
+        return max(1, request.deadline_ms - self._clock.now_ms)
+
+    def build_head(
+        self,
+        request: model.CallerRequest,
+        body: bodies.RequestBody,
+        is_owner: bool,
+    ) -> peers_pb2.ForwardHead:
+        """Build the head message.
+
+        Args:
+            request: Checked head.
+            body: Body of the request.
+            is_owner: Whether the receiver uses its own targets.
+        """
+        headers = [
+            peers_pb2.Header(name=name, value=value)
+            for name, value in request.headers
+        ]
+        headers.append(
+            peers_pb2.Header(name=fields.CLIENT, value=request.client.encode())
+        )
+        return peers_pb2.ForwardHead(
+            request_id=request.request_id,
+            service=request.service,
+            method=request.method,
+            path=request.path.decode('ascii'),
+            headers=headers,
+            deadline_ms=self.remaining_ms(request),
+            customer=request.customer,
+            non_idempotent=not request.is_idempotent,
+            key='' if is_owner else request.key,
+            bucket=request.bucket,
+            body_length=body.length,
+            sender_region=self._region,
+        )
+
+    def _region_of(self, host: str) -> str | None:
+        versioned = self._config.current
+        if versioned is None:
+            return None
+        found = versioned.config.host_by_name.get(host)
+        if found is None:
+            return None
+        return versioned.config.region_of(found.domain)
+
+
+class _Call:
+    """One forwarded request."""
+
+    def __init__(
+        self,
+        client: ForwardClient,
+        destination: Destination,
+        region: str,
+        request: model.CallerRequest,
+        body: bodies.RequestBody,
+        reply: model.Reply,
+        progress: model.Progress,
+    ) -> None:
+        self.result: Result | None = None
+        self._client = client
+        self._destination = destination
+        self._region = region
+        self._request = request
+        self._body = body
+        self._reply = reply
+        self._progress = progress
+        self._is_sent = False
+
+    async def run(
+        self,
+        stream: typing.Any,
+        on_sent: collections.abc.Callable[[], None],
+    ) -> None:
+        """Send the head and a small body, then pass the response on."""
+        # Opens the connection if there is none; until the head follows, the
+        # other host cannot run anything.
+        await stream.send_request()
+        on_sent()
+        self._is_sent = True
+        head = self._client.build_head(
+            self._request, self._body, self._destination.is_owner
+        )
+        await stream.send_message(peers_pb2.ForwardRequest(head=head))
+        if not self._body.is_small:
+            await self._exchange_parts(stream)
+            return
+        if self._body.length:
+            await stream.send_message(
+                peers_pb2.ForwardRequest(body=self._body.content)
+            )
+        await stream.send_message(peers_pb2.ForwardRequest(end=True), end=True)
+        self.result = await self._receive(stream, _ignore)
+
+    def lost(self, detail: str) -> outcome.Failure:
+        """Describe the loss of the other host.
+
+        Args:
+            detail: What was seen.
+
+        Returns:
+            "Not run" only if the head was never sent.
+        """
+        code = codes.ResultCode.PEER_UNREACHABLE
+        if self._is_sent:
+            code = codes.ResultCode.PEER_LOST
+        return outcome.Failure(
+            code, f'host {self._destination.host}: {detail}'
+        )
+
+    async def _exchange_parts(self, stream: typing.Any) -> None:
+        async with anyio.create_task_group() as tasks:
+
+            async def send() -> None:
+                failure = await self._send_body(stream)
+                if failure is not None:
+                    self.result = failure
+                    tasks.cancel_scope.cancel()
+
+            def start() -> None:
+                tasks.start_soon(send)
+
+            try:
+                self.result = await self._receive(stream, start)
+            except PEER_ERRORS as error:
+                # Raised here, it would leave the group wrapped in another.
+                uncancel()
+                self.result = self.lost(str(error))
+            tasks.cancel_scope.cancel()
+
+    async def _send_body(self, stream: typing.Any) -> outcome.Failure | None:
+        try:
+            async for part in self._body.parts():
+                for piece in split_part(part):
+                    if not await self._client.take_tokens(
+                        self._region,
+                        len(piece),
+                        self._body.is_bulk,
+                        self._client.remaining_ms(self._request),
+                    ):
+                        return outcome.Failure(
+                            codes.ResultCode.LINK_FULL,
+                            f'link to {self._region}',
+                            codes.Ran.UNKNOWN,
+                        )
+                    await stream.send_message(
+                        peers_pb2.ForwardRequest(body=piece)
+                    )
+            await stream.send_message(
+                peers_pb2.ForwardRequest(end=True), end=True
+            )
+        except target_client.BodyInterrupted as error:
+            return dataclasses.replace(
+                error.failure, ran_override=codes.Ran.UNKNOWN
+            )
+        except PEER_ERRORS:
+            # The receiving side of the call reports the loss.
+            uncancel()
+        return None
+
+    async def _receive(
+        self,
+        stream: typing.Any,
+        on_admitted: collections.abc.Callable[[], None],
+    ) -> Result:
+        length = -1
+        count = 0
+        is_bodyless = self._request.method == 'HEAD'
+        failure: outcome.Failure | None = None
+        while True:
+            message = await stream.recv_message()
+            if message is None:
+                return self.lost('no end marker')
+            part = message.WhichOneof('part')
+            if part == 'admitted':
+                on_admitted()
+                on_admitted = _ignore
+            elif part == 'head':
+                headers = tuple(
+                    (item.name, item.value) for item in message.head.headers
+                )
+                declared = fields.find(headers, b'content-length')
+                if declared is not None and not is_bodyless:
+                    length = int(declared)
+                failure = await self._reply.start(message.head.status, headers)
+            elif part == 'body':
+                count += len(message.body)
+                failure = await self._reply.write(message.body, False)
+            elif part == 'end':
+                return await self._end(message.end, length, count)
+            if failure is not None:
+                return failure
+
+    async def _end(
+        self, end: peers_pb2.ForwardEnd, length: int, count: int
+    ) -> Result:
+        self._progress.has_verdict = True
+        if end.code != codes.ResultCode.OK:
+            return read_end(end)
+        if not self._reply.is_started or (0 <= length != count):
+            LOG.error(
+                'INVARIANT_VIOLATED: %s forwarded %d of %d bytes',
+                self._request.request_id,
+                count,
+                length,
+            )
+            return outcome.Failure(codes.ResultCode.RESPONSE_INCOMPLETE)
+        failure = await self._reply.write(b'', True)
+        return failure or outcome.Success(None)
+
+
+def read_end(end: peers_pb2.ForwardEnd) -> outcome.Failure:
+    """Read the failure of an end marker.
+
+    Args:
+        end: End marker with a code other than `OK`.
+
+    Returns:
+        The failure; "unknown" whether the request ran if that is not said.
+    """
+    try:
+        code = codes.ResultCode(end.code)
+    except ValueError:
+        code = codes.ResultCode.INTERNAL
+    try:
+        ran = codes.Ran(end.ran)
+    except ValueError:
+        ran = codes.Ran.UNKNOWN
+    return outcome.Failure(code, end.detail, ran)
+
+
+def _ignore() -> None:
+    pass
+
+
+def _unreachable(host: str) -> outcome.Failure:
+    return outcome.Failure(
+        codes.ResultCode.PEER_UNREACHABLE, f'host {host} is not reachable'
+    )
--- /dev/null
+++ b/wigeonhatch/requests/forward_server.py
@@ -0,0 +1,241 @@
+"""Serve requests that other hosts forward to this one."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch import settings
+from wigeonhatch.peers import peers_pb2
+from wigeonhatch.requests import attempts
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import dependencies
+from wigeonhatch.requests import forward_client
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import model
+
+LOG = logging.getLogger(__name__)
+
+
+class ForwardServer:
+    """Handler of the `Forward` call.
+
+    Args:
+        clock: Source of monotonic time.
+        config: Configuration in force.
+        runner: Runs the requests.
+        forwarder: Gives access to the link budgets.
+        limits: Limits at the edges.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        config: dependencies.ConfigSource,
+        runner: attempts.RequestRunner,
+        forwarder: forward_client.ForwardClient,
+        limits: settings.Limits,
+    ) -> None:
+        self.in_progress = 0
+        self._clock = clock
+        self._config = config
+        self._runner = runner
+        self._forwarder = forwarder
+        self._limits = limits
+
+    async def handle(self, stream: typing.Any) -> None:
+        """Run one forwarded request and send its response.
+
+        Args:
+            stream: grpclib stream of `ForwardRequest` and `ForwardReply`.
+        """
+        self.in_progress += 1
+        try:
+            result = await self._run(stream)
+            await _send_end(stream, result)
+        finally:
+            self.in_progress -= 1
+
+    async def _run(self, stream: typing.Any) -> attempts.Result:
+        message = await stream.recv_message()
+        if message is None or message.WhichOneof('part') != 'head':
+            return outcome.Failure(
+                codes.ResultCode.BAD_REQUEST, 'the stream has no head'
+            )
+        head = message.head
+        failure = self._check(head)
+        if failure is not None:
+            return failure
+        request = self._read_head(head)
+        reply = _StreamReply(
+            stream, self._forwarder, request, head.sender_region
+        )
+        body = bodies.RequestBody(
+            head.body_length,
+            _read_parts(stream, is_small=_is_small(head.body_length)),
+            self._limits.max_body_bytes,
+        )
+        if body.is_small:
+            failure = await body.buffer()
+            if failure is not None:
+                return failure
+        control = model.RequestControl()
+        exchange = attempts.Exchange(request, body, reply, control)
+        if request.key:
+            result = await self._runner.run_issued(exchange)
+        else:
+            result = await self._runner.run_local(exchange)
+        if isinstance(result, outcome.Failure):
+            LOG.info(
+                'forwarded request %s ended with %s: %s',
+                request.request_id,
+                result.code.name,
+                result.detail,
+            )
+        return result
+
+    def _check(self, head: peers_pb2.ForwardHead) -> outcome.Failure | None:
+        versioned = self._config.current
+        if versioned is None:
+            return outcome.Failure(codes.ResultCode.NOT_READY)
+        if head.service not in versioned.config.service_by_name:
+            return outcome.Failure(
+                codes.ResultCode.UNKNOWN_SERVICE, head.service
+            )
+        if head.deadline_ms == 0:
+            return outcome.Failure(codes.ResultCode.DEADLINE_EXCEEDED)
+        if head.body_length > self._limits.max_body_bytes:
+            return outcome.Failure(codes.ResultCode.BODY_TOO_LARGE)
+        return None
+
+    def _read_head(self, head: peers_pb2.ForwardHead) -> model.CallerRequest:
+        headers = tuple((item.name, item.value) for item in head.headers)
+        client = fields.find(headers, fields.CLIENT) or b''
+        return model.CallerRequest(
+            request_id=head.request_id,
+            service=head.service,
+            method=head.method,
+            path=head.path.encode('ascii'),
+            headers=fields.filter_request(headers),
+            deadline_ms=self._clock.now_ms + head.deadline_ms,
+            customer=head.customer,
+            is_idempotent=not head.non_idempotent,
+            key=head.key,
+            client=client.decode('ascii', 'replace'),
+            bucket=head.bucket,
+        )
+
+
+class _StreamReply:
+    """Send a response over the stream, within the link budget."""
+
+    def __init__(
+        self,
+        stream: typing.Any,
+        forwarder: forward_client.ForwardClient,
+        request: model.CallerRequest,
+        region: str,
+    ) -> None:
+        self.is_started = False
+        self._stream = stream
+        self._forwarder = forwarder
+        self._request = request
+        self._region = region
+        self._is_bulk = False
+        self._count = 0
+
+    async def start(
+        self, status: int, headers: fields.HeaderTuple
+    ) -> outcome.Failure | None:
+        length = fields.find(headers, b'content-length')
+        self._is_bulk = (
+            length is not None and int(length) > bodies.BULK_BODY_BYTES
+        )
+        if not await self._take(forward_client.head_bytes(headers)):
+            return self._link_full()
+        self.is_started = True
+        await self._stream.send_message(
+            peers_pb2.ForwardReply(
+                head=peers_pb2.ForwardReplyHead(
+                    status=status,
+                    headers=[
+                        peers_pb2.Header(name=name, value=value)
+                        for name, value in headers
+                    ],
+                )
+            )
+        )
+        return None
+
+    async def write(
+        self, part: bytes, is_last: bool
+    ) -> outcome.Failure | None:
+        for piece in forward_client.split_part(part):
+            if not piece:
+                continue
+            self._count += len(piece)
+            if self._count > bodies.BULK_BODY_BYTES:
+                self._is_bulk = True
+            if not await self._take(len(piece)):
+                return self._link_full()
+            await self._stream.send_message(peers_pb2.ForwardReply(body=piece))
+        return None
+
+    async def _take(self, size: int) -> bool:
+        return await self._forwarder.take_tokens(
+            self._region,
+            size,
+            self._is_bulk,
+            self._forwarder.remaining_ms(self._request),
+        )
+
+    def _link_full(self) -> outcome.Failure:
+        return outcome.Failure(
+            codes.ResultCode.LINK_FULL,
+            f'link to {self._region}',
+            codes.Ran.RAN,
+        )
+
+
+def _is_small(body_length: int) -> bool:
+    return 0 <= body_length <= bodies.SMALL_BODY_BYTES
+
+
+def _read_parts(stream: typing.Any, is_small: bool) -> bodies.ReadPart:
+    """Read body messages; the first read asks for a body that is not small.
+
+    A target's connection reads the body only once it has been admitted.
+    """
+    has_asked = is_small
+
+    async def read_part() -> bytes | None | outcome.Failure:
+        nonlocal has_asked
+        if not has_asked:
+            has_asked = True
+            await stream.send_message(peers_pb2.ForwardReply(admitted=True))
+        message = await stream.recv_message()
+        part = None if message is None else message.WhichOneof('part')
+        if part == 'body':
+            return bytes(message.body)
+        if part == 'end':
+            return None
+        return outcome.Failure(
+            codes.ResultCode.CALLER_GONE, 'the forwarding host left'
+        )
+
+    return read_part
+
+
+async def _send_end(stream: typing.Any, result: attempts.Result) -> None:
+    if isinstance(result, outcome.Success):
+        end = peers_pb2.ForwardEnd(code=codes.ResultCode.OK)
+    else:
+        end = peers_pb2.ForwardEnd(
+            code=int(result.code),
+            detail=result.detail,
+            ran=result.ran.value,
+        )
+    await stream.send_message(peers_pb2.ForwardReply(end=end))
--- /dev/null
+++ b/wigeonhatch/requests/headers.py
@@ -0,0 +1,102 @@
+"""Header fields of requests and responses."""
+
+from __future__ import annotations
+
+import collections.abc
+
+Headers = collections.abc.Iterable[tuple[bytes, bytes]]
+HeaderTuple = tuple[tuple[bytes, bytes], ...]
+
+DEADLINE = b'wigeonhatch-deadline-ms'
+KEY = b'idempotency-key'
+NON_IDEMPOTENT = b'wigeonhatch-non-idempotent'
+CUSTOMER = b'wigeonhatch-customer'
+REQUEST_ID = b'wigeonhatch-request-id'
+CLIENT = b'wigeonhatch-client'
+CODE = b'wigeonhatch-code'
+RAN = b'wigeonhatch-ran'
+NOT_RUN_VALUE = b'not run'
+
+_HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+# Set again for each attempt, from checked values.
+_OWN_REQUEST = frozenset(
+    {
+        DEADLINE,
+        CUSTOMER,
+        REQUEST_ID,
+        CLIENT,
+        CODE,
+        RAN,
+        b'content-length',
+        b'expect',
+        b'host',
+    }
+)
+# A target must not be able to imitate a refusal of this program.
+_OWN_RESPONSE = frozenset({CODE, RAN})
+_DROPPED_REQUEST = _HOP_BY_HOP | _OWN_REQUEST
+_DROPPED_RESPONSE = _HOP_BY_HOP | _OWN_RESPONSE
+
+
+def _named_by_connection(headers: HeaderTuple) -> frozenset[bytes]:
+    names = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b'connection'
+        for token in value.split(b',')
+    }
+    return frozenset(names - {b'close', b'keep-alive', b''})
+
+
+def _drop(headers: HeaderTuple, dropped: frozenset[bytes]) -> HeaderTuple:
+    named = _named_by_connection(headers)
+    if named:
+        dropped |= named
+    return tuple(item for item in headers if item[0] not in dropped)
+
+
+def filter_request(headers: Headers) -> HeaderTuple:
+    """Keep the header fields that a target receives unchanged.
+
+    Args:
+        headers: Names in lower case, and values.
+    """
+    return _drop(tuple(headers), _DROPPED_REQUEST)
+
+
+def filter_response(headers: Headers) -> HeaderTuple:
+    """Keep the header fields that a caller receives.
+
+    Args:
+        headers: Names in any case, and values.
+
+    Returns:
+        Names in lower case, and values.
+    """
+    lowered = tuple((name.lower(), value) for name, value in headers)
+    return _drop(lowered, _DROPPED_RESPONSE)
+
+
+def find(headers: Headers, wanted: bytes) -> bytes | None:
+    """Find the first value of a header field.
+
+    Args:
+        headers: Names in lower case, and values.
+        wanted: Name in lower case.
+    """
+    for name, value in headers:
+        if name == wanted:
+            return value
+    return None
--- /dev/null
+++ b/wigeonhatch/requests/keys.py
@@ -0,0 +1,368 @@
+"""Idempotency keys of one incarnation of a host."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import hashlib
+import hmac
+import logging
+import secrets
+import urllib.parse
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+
+LOG = logging.getLogger(__name__)
+
+KEY_LIFETIME_MS = 600_000
+MAX_STORED_RESPONSE_BYTES = 65_536
+MAX_KEY_BYTES = 512
+_MAC_BYTES = 16
+_SECRET_BYTES = 32
+_PART_COUNT = 5
+# A host of the current deployments starts a few hundred keys a second, which
+# is 120,000 within the lifetime of a key.
+_MAX_ENTRIES = 200_000
+_MAX_TOTAL_BYTES = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredResponse:
+    """Response that is replayed to later attempts with the same key.
+
+    Args:
+        status: HTTP status.
+        headers: Header names in lower case, and values.
+        body: Complete body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Approximate memory of the response in bytes."""
+        header_bytes = sum(len(n) + len(v) for n, v in self.headers)
+        return len(self.body) + header_bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The key starts now; the holder runs the request."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The request of the key has finished with this response."""
+
+    response: StoredResponse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyParts:
+    """Fields of a key.
+
+    Args:
+        host: Host that issued the key.
+        incarnation: Incarnation of that host.
+        issued_ms: Time of issue on that host's monotonic clock in ms.
+        serial: Number of the key within the incarnation.
+        signed: Text that the MAC covers.
+        mac: MAC in hexadecimal digits.
+    """
+
+    host: str
+    incarnation: int
+    issued_ms: int
+    serial: int
+    signed: str
+    mac: str
+
+
+class _State(enum.Enum):
+    IN_PROGRESS = enum.auto()
+    FINISHED = enum.auto()
+
+
+class _Entry:
+    __slots__ = ('begun_ms', 'digest', 'is_sent', 'response', 'state')
+
+    def __init__(self, begun_ms: int, digest: bytes) -> None:
+        self.begun_ms = begun_ms
+        self.digest = digest
+        self.is_sent = False
+        self.state = _State.IN_PROGRESS
+        self.response: StoredResponse | None = None
+
+
+def parse_key(key: str) -> KeyParts | None:
+    """Split a key into its fields.
+
+    Args:
+        key: Text of the key.
+
+    Returns:
+        The fields, not verified; None if the text is no key.
+    """
+    if len(key) > MAX_KEY_BYTES or not key.isascii():
+        return None
+    parts = key.rsplit('.', _PART_COUNT - 1)
+    if len(parts) != _PART_COUNT:
+        return None
+    host, incarnation, issued, serial, mac = parts
+    try:
+        fields = [int(text, 16) for text in (incarnation, issued, serial)]
+    except ValueError:
+        return None
+    if not host or len(mac) != 2 * _MAC_BYTES or min(fields) < 0:
+        return None
+    return KeyParts(
+        urllib.parse.unquote(host),
+        fields[0],
+        fields[1],
+        fields[2],
+        key[: -len(mac) - 1],
+        mac,
+    )
+
+
+class KeyTable:
+    """Issue keys and remember what became of their requests.
+
+    Args:
+        host: Name of this host.
+        incarnation: Incarnation of this daemon.
+        clock: Source of monotonic time.
+        max_entries: Keys remembered at once; further keys are refused.
+        max_total_bytes: Memory for responses; the oldest are dropped.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        max_entries: int = _MAX_ENTRIES,
+        max_total_bytes: int = _MAX_TOTAL_BYTES,
+    ) -> None:
+        self.violations = 0
+        self._host = host
+        self._incarnation = incarnation
+        self._clock = clock
+        self._max_entries = max_entries
+        self._max_total_bytes = max_total_bytes
+        self._secret = secrets.token_bytes(_SECRET_BYTES)
+        self._prefix = f'{urllib.parse.quote(host, safe="")}.{incarnation:x}.'
+        self._serial = 0
+        # In the order of `begin`, which is also the order of removal.
+        self._entry_by_serial: dict[int, _Entry] = {}
+        self._stored_serials: collections.deque[int] = collections.deque()
+        self._stored_bytes = 0
+
+    def __len__(self) -> int:
+        """Count the keys that are remembered."""
+        return len(self._entry_by_serial)
+
+    @property
+    def stored_bytes(self) -> int:
+        """Memory of the stored responses in bytes."""
+        return self._stored_bytes
+
+    def issue(self, count: int) -> list[str]:
+        """Make new keys.
+
+        Args:
+            count: Number of keys, at least 0.
+
+        Returns:
+            Keys that no other call returns.
+        """
+        now = f'{self._clock.now_ms:x}'
+        keys = []
+        for _ in range(count):
+            self._serial += 1
+            signed = f'{self._prefix}{now}.{self._serial:x}'
+            keys.append(f'{signed}.{self._mac(signed)}')
+        return keys
+
+    def begin(
+        self, key: str, digest: bytes = b''
+    ) -> Started | Replay | outcome.Failure:
+        """Start the request of a key unless it has started before.
+
+        Args:
+            key: Text of the key.
+            digest: Identity of the request; a key is bound to the first one.
+
+        Returns:
+            `Started` for the first attempt; `Replay` after it has finished;
+            otherwise the refusal.
+        """
+        checked = self._check(key)
+        if isinstance(checked, outcome.Failure):
+            return checked
+        self._purge()
+        entry = self._entry_by_serial.get(checked.serial)
+        if entry is not None:
+            return self._describe(entry, digest)
+        if len(self._entry_by_serial) >= self._max_entries:
+            return outcome.Failure(
+                codes.ResultCode.NO_CAPACITY,
+                f'{self._max_entries} idempotency keys are in use',
+            )
+        entry = _Entry(self._clock.now_ms, digest)
+        self._entry_by_serial[checked.serial] = entry
+        return Started(key)
+
+    def mark_sent(self, key: str) -> bool:
+        """Record that the request of a key may reach a target from now on.
+
+        Args:
+            key: Key that has begun.
+
+        Returns:
+            False if the request must not be sent, because the key has not
+            begun or its request may have reached a target before.
+        """
+        entry = self._find(key)
+        if (
+            entry is None
+            or entry.is_sent
+            or entry.state is not _State.IN_PROGRESS
+        ):
+            self._report('a key started twice', key)
+            return False
+        entry.is_sent = True
+        return True
+
+    def is_sent(self, key: str) -> bool:
+        """Tell whether the request of a key may have reached a target.
+
+        Args:
+            key: Key that has begun.
+        """
+        entry = self._find(key)
+        return entry is not None and entry.is_sent
+
+    def mark_not_run(self, key: str) -> None:
+        """Record that the request certainly did not run.
+
+        Args:
+            key: Key that has begun.
+        """
+        entry = self._find(key)
+        if entry is not None and entry.state is _State.IN_PROGRESS:
+            entry.is_sent = False
+
+    def finish(self, key: str, stored: StoredResponse | None) -> None:
+        """End the request of a key that may have run.
+
+        Args:
+            key: Key that has begun.
+            stored: Response to replay; None if it is not kept.
+        """
+        entry = self._find(key)
+        if entry is None or entry.state is _State.FINISHED:
+            return
+        entry.state = _State.FINISHED
+        if stored is None or stored.size_bytes > (
+            2 * MAX_STORED_RESPONSE_BYTES
+        ):
+            return
+        entry.response = stored
+        parts = parse_key(key)
+        assert parts is not None
+        self._stored_serials.append(parts.serial)
+        self._stored_bytes += stored.size_bytes
+        while self._stored_bytes > self._max_total_bytes:
+            self._drop_response(self._stored_serials.popleft())
+
+    def forget(self, key: str) -> None:
+        """Remove a key whose request certainly did not run.
+
+        Args:
+            key: Key that has begun.
+        """
+        parts = parse_key(key)
+        entry = self._find(key)
+        if parts is None or entry is None:
+            return
+        if entry.is_sent or entry.state is _State.FINISHED:
+            self._report('a key that was sent was to be forgotten', key)
+            entry.state = _State.FINISHED
+            return
+        del self._entry_by_serial[parts.serial]
+
+    def _describe(
+        self, entry: _Entry, digest: bytes
+    ) -> Replay | outcome.Failure:
+        if entry.digest != digest:
+            return outcome.Failure(
+                codes.ResultCode.BAD_REQUEST,
+                'the idempotency key belongs to another request',
+            )
+        if entry.state is _State.IN_PROGRESS:
+            return outcome.Failure(codes.ResultCode.IN_PROGRESS)
+        if entry.response is not None:
+            return Replay(entry.response)
+        return outcome.Failure(codes.ResultCode.ALREADY_RAN)
+
+    def _check(self, key: str) -> KeyParts | outcome.Failure:
+        parts = parse_key(key)
+        if parts is None:
+            return outcome.Failure(codes.ResultCode.KEY_MALFORMED)
+        if (parts.host, parts.incarnation) != (self._host, self._incarnation):
+            return outcome.Failure(
+                codes.ResultCode.KEY_HOST_UNREACHABLE,
+                f'host {parts.host} has restarted since it issued the key',
+            )
+        if not hmac.compare_digest(self._mac(parts.signed), parts.mac):
+            return outcome.Failure(
+                codes.ResultCode.KEY_MALFORMED, 'the MAC does not match'
+            )
+        if self._clock.now_ms - parts.issued_ms >= KEY_LIFETIME_MS:
+            return outcome.Failure(codes.ResultCode.KEY_EXPIRED)
+        return parts
+
+    def _find(self, key: str) -> _Entry | None:
+        parts = parse_key(key)
+        if parts is None or parts.incarnation != self._incarnation:
+            return None
+        return self._entry_by_serial.get(parts.serial)
+
+    def _mac(self, signed: str) -> str:
+        return hashlib.blake2b(
+            signed.encode(), key=self._secret, digest_size=_MAC_BYTES
+        ).hexdigest()
+
+    def _purge(self) -> None:
+        # A key is issued before it begins, so that an entry that began one
+        # lifetime ago belongs to a key that has expired.
+        oldest_ms = self._clock.now_ms - KEY_LIFETIME_MS
+        while self._entry_by_serial:
+            serial = next(iter(self._entry_by_serial))
+            if self._entry_by_serial[serial].begun_ms > oldest_ms:
+                return
+            self._drop_response(serial)
+            del self._entry_by_serial[serial]
+
+    def _drop_response(self, serial: int) -> None:
+        entry = self._entry_by_serial.get(serial)
+        if entry is not None and entry.response is not None:
+            self._stored_bytes -= entry.response.size_bytes
+            entry.response = None
+
+    def _report(self, what: str, key: str) -> None:
+        self.violations += 1
+        LOG.error(
+            'INVARIANT_VIOLATED: %s: key %s',
+            what,
+            key.rpartition('.')[0],
+            extra={'code': int(codes.ResultCode.INVARIANT_VIOLATED)},
+        )
--- /dev/null
+++ b/wigeonhatch/requests/model.py
@@ -0,0 +1,152 @@
+"""Data of one request on its way through a host."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import xxhash
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.requests import headers as fields
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Checked head of a request.
+
+    Args:
+        request_id: Identity in logs and refusals.
+        service: Name of the service.
+        method: HTTP method.
+        path: Path with query, as the caller sent it.
+        headers: End-to-end header fields for the target.
+        deadline_ms: End of the request on the monotonic clock in ms.
+        customer: Name of the customer; empty for none.
+        is_idempotent: Whether the request may run more than once.
+        key: Idempotency key, if this host has to run the request as the
+            issuer of the key or to forward it to the issuer; else empty.
+        client: Address of the client.
+        bucket: Hash bucket of the client.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    path: bytes
+    headers: fields.HeaderTuple
+    deadline_ms: int
+    customer: str
+    is_idempotent: bool
+    key: str
+    client: str
+    bucket: int
+
+    def digest(self, body_length: int) -> bytes:
+        """Identify the request that a key is bound to.
+
+        Args:
+            body_length: Length of the body in bytes; -1 if not known.
+        """
+        text = f'{self.service}\0{self.method}\0{body_length}\0'
+        return xxhash.xxh3_128_digest(text.encode() + self.path)
+
+
+class Reply(typing.Protocol):
+    """Where the response of a request goes."""
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the head was sent."""
+
+    async def start(
+        self, status: int, headers: fields.HeaderTuple
+    ) -> outcome.Failure | None:
+        """Send the head."""
+
+    async def write(
+        self, part: bytes, is_last: bool
+    ) -> outcome.Failure | None:
+        """Send a part of the body."""
+
+
+class Progress:
+    """How far one attempt has come.
+
+    Attributes:
+        may_have_run: Whether a byte may have reached a target.
+        has_verdict: Whether another host has stated the result.
+    """
+
+    __slots__ = ('has_verdict', 'may_have_run')
+
+    def __init__(self) -> None:
+        self.may_have_run = False
+        self.has_verdict = False
+
+
+class RequestControl:
+    """Cancel the attempt in progress of one request."""
+
+    __slots__ = ('_scope', 'cause', 'is_detached')
+
+    def __init__(self) -> None:
+        self.cause: codes.ResultCode | None = None
+        # A non-idempotent request continues without its caller, so that a
+        # later attempt with the same key finds its outcome.
+        self.is_detached = False
+        self._scope: anyio.CancelScope | None = None
+
+    def on_caller_gone(self) -> None:
+        """Stop the request because nobody waits for its response."""
+        if not self.is_detached:
+            self.cause = codes.ResultCode.CALLER_GONE
+            if self._scope is not None:
+                self._scope.cancel()
+
+    def on_preempt(self) -> None:
+        """Stop the attempt because its slot is reclaimed."""
+        if self.cause is None and self._scope is not None:
+            self.cause = codes.ResultCode.PREEMPTED
+            self._scope.cancel()
+
+    def enter(self, scope: anyio.CancelScope) -> None:
+        """Make a scope the one to cancel."""
+        self._scope = scope
+        if self.cause is codes.ResultCode.CALLER_GONE:
+            scope.cancel()
+
+    def leave(self) -> codes.ResultCode | None:
+        """End the scope.
+
+        Returns:
+            Why the scope was cancelled, if not by its deadline.
+        """
+        self._scope = None
+        cause = self.cause
+        if cause is codes.ResultCode.PREEMPTED:
+            self.cause = None
+        return cause
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestSummary:
+    """What became of a request, for metrics and logs.
+
+    Args:
+        request_id: Identity of the request.
+        service: Name of the service; empty if unknown.
+        code: Result.
+        elapsed_ms: Time since the head was received.
+    """
+
+    request_id: str
+    service: str
+    code: codes.ResultCode
+    elapsed_ms: int
+
+
+OnFinished = collections.abc.Callable[[RequestSummary], None]
--- /dev/null
+++ b/wigeonhatch/requests/retry.py
@@ -0,0 +1,92 @@
+"""Retries of attempts, within a budget per service."""
+
+from __future__ import annotations
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+
+MAX_RETRIES = 2
+RETRY_PERCENT = 10
+# Lets a service with little traffic retry at all.
+_BURST_RETRIES = 10
+_TOKEN_SIZE = 100
+
+# Results of the request itself, which another attempt cannot change.
+_FINAL_CODES = frozenset(
+    {
+        codes.ResultCode.DEADLINE_EXCEEDED,
+        codes.ResultCode.DEADLINE_EXCEEDED_RUNNING,
+        codes.ResultCode.CALLER_GONE,
+        codes.ResultCode.INVARIANT_VIOLATED,
+        codes.ResultCode.INTERNAL,
+    }
+)
+
+
+class RetryBudget:
+    """Token bucket that earns a part of a retry with each request.
+
+    Args:
+        percent: Retries per 100 requests.
+        burst: Retries that may be saved up; also the initial number.
+    """
+
+    def __init__(
+        self, percent: int = RETRY_PERCENT, burst: int = _BURST_RETRIES
+    ) -> None:
+        # Counted in hundredths, so that no fraction is lost.
+        self._percent = percent
+        self._limit = burst * _TOKEN_SIZE
+        self._tokens = self._limit
+
+    def on_request(self) -> None:
+        """Count one request of the service."""
+        self._tokens = min(self._limit, self._tokens + self._percent)
+
+    def take(self) -> bool:
+        """Take one retry.
+
+        Returns:
+            Whether the budget allows the retry.
+        """
+        if self._tokens < _TOKEN_SIZE:
+            return False
+        self._tokens -= _TOKEN_SIZE
+        return True
+
+
+def may_repeat(
+    failure: outcome.Failure, is_idempotent: bool, is_body_available: bool
+) -> bool:
+    """Decide whether a request may be attempted again.
+
+    Args:
+        failure: Result of the attempt.
+        is_idempotent: Whether the request may run more than once.
+        is_body_available: Whether the complete body can be sent again.
+
+    Returns:
+        True only for idempotent requests and for requests that certainly did
+        not run, and only for results that another attempt may change.
+    """
+    if failure.code in _FINAL_CODES or not is_body_available:
+        return False
+    if not failure.info.retryable:
+        return False
+    return is_idempotent or failure.ran is codes.Ran.NOT_RUN
+
+
+def is_refused_locally(failure: outcome.Failure, is_local: bool) -> bool:
+    """Tell whether an attempt ended before it cost anything.
+
+    Args:
+        failure: Result of the attempt.
+        is_local: Whether this host admits for the route.
+
+    Returns:
+        True if this host itself refused, so that trying the next route is
+        no retry.
+    """
+    if failure.code is codes.ResultCode.LINK_FULL:
+        return failure.ran is codes.Ran.NOT_RUN
+    return is_local and failure.code is codes.ResultCode.NO_CAPACITY
--- /dev/null
+++ b/wigeonhatch/requests/server.py
@@ -0,0 +1,197 @@
+"""uvicorn server of the callers' interface, with limits on connections."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+
+from uvicorn import config as uvicorn_config
+from uvicorn.protocols.http import httptools_impl
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch import settings
+from wigeonhatch.requests import _head
+from wigeonhatch.requests import _replies
+from wigeonhatch.requests import application as applications
+
+KEEP_ALIVE_S = 30
+# A refused caller that is still sending gets this long to read the refusal;
+# an immediate close would reset the connection and discard it.
+_LINGER_S = 2.0
+
+
+class GuardedProtocol(httptools_impl.HttpToolsProtocol):
+    """HTTP protocol that bounds connections and the time for a head."""
+
+    limits: settings.Limits
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Refuse a connection over the limit."""
+        super().connection_made(typing.cast('asyncio.Transport', transport))
+        self._is_refused = False
+        self._is_in_head = False
+        self._head_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        if len(self.connections) > self.limits.max_connections:
+            self._refuse(
+                outcome.Failure(codes.ResultCode.TOO_MANY_CONNECTIONS)
+            )
+            return
+        self._arm(self.limits.max_body_gap_ms / 1_000, self._on_slow_head)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._disarm()
+        super().connection_lost(exc)
+
+    def eof_received(self) -> None:
+        """Refuse a body that is shorter than declared."""
+        cycle = self.cycle
+        if (
+            cycle is not None
+            and cycle.more_body
+            and not cycle.response_started
+            and not self._is_refused
+        ):
+            # The application may have passed on a part of the body.
+            cycle.response_started = True
+            self._write_refusal(
+                outcome.Failure(
+                    codes.ResultCode.BODY_LENGTH_MISMATCH,
+                    'the connection ended within the body',
+                )
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse, and bound the size and time of an incomplete head."""
+        if self._is_refused:
+            return
+        super().data_received(data)
+        if not self._is_in_head:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self.limits.max_header_bytes:
+            self._refuse(outcome.Failure(codes.ResultCode.HEADER_TOO_LARGE))
+        elif self._timer is None and not self._is_refused:
+            self._arm(self.limits.max_body_gap_ms / 1_000, self._on_slow_head)
+
+    def on_message_begin(self) -> None:
+        """Offer the application a way to break off a response."""
+        super().on_message_begin()
+        self._is_in_head = True
+        self._head_bytes = 0
+        scope: dict[str, typing.Any] = typing.cast(
+            'dict[str, typing.Any]', self.scope
+        )
+        scope['extensions'] = {
+            applications.ABORT_EXTENSION: self.transport.abort
+        }
+
+    def on_headers_complete(self) -> None:
+        """Stop the timer of the head."""
+        self._is_in_head = False
+        self._disarm()
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Keep the connection if a refused body has been read to its end."""
+        if self.cycle.response_complete:
+            self._disarm()
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Bound the time to read the rest of a refused body."""
+        cycle = self.cycle
+        if cycle.response_complete and cycle.more_body:
+            self._arm(_LINGER_S, self.transport.close)
+        super().on_response_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is not HTTP."""
+        cycle = self.cycle
+        if (
+            cycle is not None
+            and cycle.response_started
+            and not cycle.response_complete
+        ):
+            # The refusal would become a part of the response in progress.
+            self.transport.abort()
+            return
+        self._refuse(outcome.Failure(codes.ResultCode.BAD_REQUEST, msg))
+
+    def _on_slow_head(self) -> None:
+        self._timer = None
+        self._refuse(
+            outcome.Failure(
+                codes.ResultCode.SLOW_SENDER,
+                'the head is incomplete',
+                codes.Ran.NOT_RUN,
+            )
+        )
+
+    def _refuse(self, failure: outcome.Failure) -> None:
+        self._is_refused = True
+        self._is_in_head = False
+        if len(self.connections) > 2 * self.limits.max_connections:
+            self.transport.abort()
+            return
+        self._write_refusal(failure)
+        self._arm(_LINGER_S, self.transport.close)
+
+    def _write_refusal(self, failure: outcome.Failure) -> None:
+        status, headers, body = _replies.render_refusal(
+            failure, _head.choose_request_id(None)
+        )
+        head = b''.join(b'%b: %b\r\n' % item for item in headers)
+        self.transport.write(
+            httptools_impl.STATUS_LINE[status]
+            + head
+            + b'connection: close\r\n\r\n'
+            + body
+        )
+
+    def _arm(
+        self, delay_s: float, callback: collections.abc.Callable[[], None]
+    ) -> None:
+        self._disarm()
+        self._timer = self.loop.call_later(delay_s, callback)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def build_server_config(
+    application: applications.Application,
+    address: str,
+    limits: settings.Limits,
+) -> uvicorn_config.Config:
+    """Configure uvicorn for the callers' interface.
+
+    Args:
+        application: The application to serve.
+        address: `IP:PORT` to listen on.
+        limits: Limits at the edges.
+    """
+    host, port = settings.parse_address(address)
+    protocol = type('LimitedProtocol', (GuardedProtocol,), {'limits': limits})
+    return uvicorn_config.Config(
+        application,  # type: ignore[arg-type]
+        host=host,
+        port=port,
+        http=protocol,
+        ws='none',
+        lifespan='off',
+        loop='uvloop',
+        interface='asgi3',
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        backlog=2_048,
+    )
