--- a/wigeonhatch/entry/control.py
+++ b/wigeonhatch/entry/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from wigeonhatch import clock as clocks
@@ -25,6 +26,12 @@
 from wigeonhatch.steering import split as splits
 from wigeonhatch.steering import step_writer as step_writers
 
+Forward = collections.abc.Callable[
+    [peer_server.ForwardStream], collections.abc.Awaitable[None]
+]
+
+SPLIT_WAIT_MS = 1_500
+
 
 @dataclasses.dataclass(frozen=True)
 class Control:
@@ -89,7 +96,7 @@
     credential: str,
     clock: clocks.Clock,
     platform: interface.Platform,
-    forward: peer_server.Forward,
+    forward: Forward,
 ) -> Control:
     """Build the control plane of a daemon.
 
@@ -214,6 +221,3 @@
         # state exchange bring them.
         await control.clock.sleep_ms(SPLIT_WAIT_MS)
     control.split_table.set_complete()
-
-
-SPLIT_WAIT_MS = 1_500
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -1,160 +1,176 @@
-"""The daemon of an entry host: a first, thin path from end to end."""
+"""The daemon that runs on every entry host."""
 
 from __future__ import annotations
 
-import random
+import logging
 import signal
+import sys
 import typing
-import urllib.parse
 
 import anyio
-import httpcore
-import msgspec
-import pydantic
+import anyio.abc
+import uvicorn
 
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import log
+from wigeonhatch import outcome
 from wigeonhatch import settings as settings_module
 from wigeonhatch.config import model
+from wigeonhatch.entry import control as controls
 from wigeonhatch.entry import http_server
+from wigeonhatch.entry import not_ready
+from wigeonhatch.entry import serving as servings
+from wigeonhatch.entry import stop as stops
+from wigeonhatch.entry import upkeep as upkeeps
+from wigeonhatch.entry import view
+from wigeonhatch.metrics import collector
+from wigeonhatch.operators import application as operator_application
+from wigeonhatch.operators import service as operator_service
+from wigeonhatch.peers import records
 from wigeonhatch.platform import http_client
-from wigeonhatch.platform import interface
+from wigeonhatch.requests import server as request_server
 
-_FORWARDED = (
-    b'wigeonhatch-request-id',
-    b'wigeonhatch-deadline-ms',
-    b'idempotency-key',
-    b'x-response-bytes',
-    b'content-length',
-)
+_LOG = logging.getLogger(__name__)
 
 
-class ThinApplication:
-    """Answer lookups and send requests to any target with a free slot."""
+class Daemon:
+    """One entry host: control plane first, data plane once configured.
 
-    def __init__(self, settings: settings_module.Settings) -> None:
-        self._settings = settings
-        self._platform = http_client.HttpPlatform(settings.platform_url)
-        self._config: model.SteeringConfig | None = None
-        self._in_use_by_target: dict[str, int] = {}
-
-    async def load(self) -> None:
-        """Load the configuration from the platform."""
-        result = await self._platform.read(['config/head'])
-        if not isinstance(result, interface.ReadResult):
-            raise RuntimeError('the platform is unavailable')
-        head = msgspec.json.decode(result.row_by_key['config/head'].value)
-        content = await self._platform.get_object(
-            f'config/{head["change_id"]}'
-        )
-        assert isinstance(content, bytes)
-        self._config = pydantic.TypeAdapter(
-            model.SteeringConfig
-        ).validate_json(content)
+    Args:
+        settings: Checked settings.
+        credential: Credential of operators and peers.
+        clock: Clock of the host.
+    """
 
-    async def __call__(
-        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        credential: str,
+        clock: clocks.Clock,
     ) -> None:
-        """Handle one request."""
-        if self._config is None:
-            await self.load()
-        if scope['path'] == '/.wigeonhatch/v1/lookup':
-            await self._look_up(scope, send)
-        else:
-            await self._pass(scope, receive, send)
-
-    async def _look_up(self, scope: typing.Any, send: typing.Any) -> None:
-        assert self._config is not None
-        query = urllib.parse.parse_qs(scope['query_string'].decode())
-        hosts = [
-            {'host': name, 'address': host.caller_address}
-            for name, host in self._config.host_by_name.items()
-        ]
-        random.shuffle(hosts)
-        keys = [
-            f'{hosts[0]["host"]}.{random.getrandbits(64):x}' for _ in range(16)
-        ]
-        body = msgspec.json.encode(
-            {
-                'service': query['service'][0],
-                'hosts': hosts,
-                'ttl_ms': model.LOOKUP_TTL_MS,
-                'keys': keys,
-            }
+        self._settings = settings
+        self._clock = clock
+        self._serving: servings.Serving | None = None
+        self._is_stopping = False
+        self._metrics = collector.Metrics(clock)
+        self._control = controls.build_control(
+            settings,
+            credential,
+            clock,
+            http_client.HttpPlatform(settings.platform_url),
+            self._on_forward,
+        )
+        daemon_view = view.ControlView(
+            self._control,
+            lambda: upkeeps.count_violations(self._control, self._serving),
+        )
+        self._metrics.watch(daemon_view)
+        service = operator_service.OperatorService(
+            settings.host, self._control.platform, daemon_view, clock
+        )
+        self._operators = operator_application.OperatorApplication(
+            service, credential, self._metrics.expose
         )
-        await _respond(send, 200, body)
 
-    async def _pass(
-        self, scope: typing.Any, receive: typing.Any, send: typing.Any
-    ) -> None:
-        assert self._config is not None
-        service = scope['path'].split('/')[1]
-        for name, target in self._config.target_by_name.items():
-            used = self._in_use_by_target.get(name, 0)
-            if target.service == service and used < 1:
-                self._in_use_by_target[name] = used + 1
-                try:
-                    await self._send_to(target, scope, receive, send)
-                finally:
-                    self._in_use_by_target[name] -= 1
-                return
-        await _respond(send, 503, b'{"name": "NO_CAPACITY"}')
-
-    async def _send_to(
-        self,
-        target: model.Target,
-        scope: typing.Any,
-        receive: typing.Any,
-        send: typing.Any,
-    ) -> None:
-        host, _, port = target.address.rpartition(':')
-        origin = httpcore.Origin(b'http', host.encode(), int(port))
-        fields = [item for item in scope['headers'] if item[0] in _FORWARDED]
-
-        async def parts() -> typing.AsyncIterator[bytes]:
-            while True:
-                message = await receive()
-                yield message.get('body', b'')
-                if not message.get('more_body'):
-                    return
-
-        async with httpcore.AsyncHTTPConnection(origin) as connection:
-            response = await connection.handle_async_request(
-                httpcore.Request(
-                    scope['method'],
-                    f'http://{target.address}{scope["path"]}',
-                    headers=[(b'host', target.address.encode()), *fields],
-                    content=parts(),
-                )
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop gracefully."""
+        callers = http_server.HttpServer(
+            request_server.build_server_config(
+                typing.cast(typing.Any, self._on_caller),
+                self._settings.caller_address,
+                self._settings.limits,
             )
-            content = await response.aread()
-        await _respond(send, response.status, content, response.headers)
-
-
-async def _respond(
-    send: typing.Any,
-    status: int,
-    body: bytes,
-    headers: typing.Sequence[tuple[bytes, bytes]] = (),
-) -> None:
-    fields = [item for item in headers if item[0].lower().startswith(b'x-')]
-    fields.append((b'content-length', str(len(body)).encode()))
-    await send(
-        {'type': 'http.response.start', 'status': status, 'headers': fields}
-    )
-    await send({'type': 'http.response.body', 'body': body})
-
-
-async def _main(settings: settings_module.Settings) -> None:
-    server = http_server.build_server(
-        ThinApplication(settings), settings.caller_address
-    )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve)
+        )
+        operators = http_server.build_server(
+            self._operators, self._settings.operator_address
+        )
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
-            async for _ in signals:
-                break
-        server.should_exit = True
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self._run_node)
+                tasks.start_soon(self._run_operators, operators)
+                tasks.start_soon(self._run_callers, callers, tasks)
+                tasks.start_soon(self._start_serving, tasks)
+                async for number in signals:
+                    _LOG.info('received %s', signal.Signals(number).name)
+                    break
+                await self._stop(callers)
+                operators.should_exit = True
+                tasks.cancel_scope.cancel()
+
+    async def _run_node(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self._control.node.run(task_status.started)
+
+    async def _run_operators(self, server: uvicorn.Server) -> None:
+        await server.serve()
+
+    async def _run_callers(
+        self, server: uvicorn.Server, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        await server.serve()
+        if not self._is_stopping:
+            # The address is in use: without callers the host is of no use.
+            tasks.cancel_scope.cancel()
+
+    async def _start_serving(self, tasks: anyio.abc.TaskGroup) -> None:
+        control = self._control
+        await control.node.start_up()
+        await controls.load_splits(control)
+        serving = servings.build_serving(control, self._metrics)
+        current = control.current
+        assert current is not None
+        serving.configure(control, current)
+
+        def on_change(versioned: model.VersionedConfig) -> None:
+            serving.configure(control, versioned)
+
+        control.node.store.subscribe(on_change)
+        for run in (
+            serving.lease_holder.run,
+            serving.health.run,
+            control.grantor.run,
+            control.step_writer.run,
+            upkeeps.Upkeep(control, serving).run,
+        ):
+            tasks.start_soon(run)
+        self._serving = serving
+        control.membership.set_state(records.HostState.SERVING)
+        _LOG.info('serving with version %d', control.node.store.version)
+
+    async def _stop(self, callers: uvicorn.Server) -> None:
+        self._is_stopping = True
+        if self._serving is not None:
+            await stops.stop_gracefully(
+                self._control,
+                self._serving,
+                self._settings.limits.stop_bound_ms,
+            )
+        callers.should_exit = True
+        # Lets the server close its idle connections.
+        await self._clock.sleep_ms(stops.CLOSE_MS)
+
+    async def _on_caller(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        serving = self._serving
+        if serving is None or (
+            self._is_stopping and not_ready.is_lookup(scope)
+        ):
+            await not_ready.refuse(scope, send)
+            return
+        await serving.application(scope, receive, send)
+
+    async def _on_forward(self, stream: typing.Any) -> None:
+        if self._serving is None:
+            await not_ready.refuse_forward(stream)
+            return
+        await self._serving.forwards.handle(stream)
 
 
 def run_entry(settings: settings_module.Settings) -> int:
@@ -166,5 +182,22 @@
     Returns:
         Exit status.
     """
-    anyio.run(_main, settings, backend_options={'use_uvloop': True})
+    log.configure_logging(settings.log_level)
+    credential = settings_module.read_credential(settings)
+    if isinstance(credential, outcome.Failure):
+        sys.stderr.write(credential.detail + '\n')
+        return credential.info.exit_status
+    log.hide(credential.value)
+
+    async def main() -> None:
+        await Daemon(settings, credential.value, clocks.Clock()).run()
+
+    try:
+        anyio.run(main, backend_options={'use_uvloop': True})
+    except ExceptionGroup as group:
+        matched, rest = group.split(OSError)
+        if matched is None or rest is not None:
+            raise
+        _LOG.error('cannot start: %s', matched.exceptions)
+        return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
     return 0
--- a/wigeonhatch/entry/upkeep.py
+++ b/wigeonhatch/entry/upkeep.py
@@ -35,9 +35,7 @@
         """Do what is due now."""
         control = self._control
         control.split_table.advance()
-        control.spillover.advance(
-            control.split_table.region, self._serving.router.has_room_for
-        )
+        self._serving.router.advance()
         control.membership.set_loads(control.slots.loads())
         self._on_membership()
         acting_for = control.grantor.acting_for
--- a/wigeonhatch/steering/step_writer.py
+++ b/wigeonhatch/steering/step_writer.py
@@ -250,9 +250,7 @@
         if isinstance(result, interface.Committed):
             self._on_committed(planned)
             version = result.version_by_key[key]
-            self._offer(
-                dataclasses.replace(planned, row_version=version)
-            )
+            self._offer(dataclasses.replace(planned, row_version=version))
         elif isinstance(result, interface.Conflict):
             self.conflicts += 1
             if key in result.row_by_key:
