--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -155,7 +155,7 @@
         limits: Limits at the edges.
         config: Configuration in force.
         lookup: Answers a lookup for service, client address and number of
-            keys; the value is encoded as JSON.
+            keys; the value is encoded JSON, or is encoded as JSON.
         describe_health: State of this host.
         runner: Runs the requests.
         on_finished: Receives the result of each request.
@@ -275,7 +275,9 @@
             request_id = _head.choose_request_id(None)
             await self._refuse(send, answer, request_id)
             return
-        content = self._encoder.encode(answer.value)
+        content = answer.value
+        if not isinstance(content, bytes):
+            content = self._encoder.encode(content)
         await _send_response(
             send,
             200,
--- a/wigeonhatch/standins/demo.py
+++ b/wigeonhatch/standins/demo.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import collections
-import json
 import sys
 import time
 
 import anyio
 import fire  # type: ignore[import-untyped]
-import httpcore
 
 from wigeonhatch.standins import caller as caller_module
 from wigeonhatch.standins import fleet as fleet_module
@@ -91,34 +89,13 @@
     started = time.monotonic()
     fleet.start_platform()
     fleet.start_targets()
-    _bootstrap(fleet)
     fleet.start_hosts()
+    fleet.apply()
     count = len(fleet.process_by_name)
     elapsed_s = time.monotonic() - started
     print(f'{example}: {count} processes started in {elapsed_s:.1f} s')
 
 
-def _bootstrap(fleet: fleet_module.Fleet) -> None:
-    content = json.dumps(fleet.document)
-    base = f'http://{fleet.platform_address}'
-    httpcore.request(
-        'PUT', f'{base}/objects/config%2Finitial', content=content.encode()
-    )
-    from wigeonhatch.platform import http_client
-    from wigeonhatch.platform import interface
-
-    async def commit() -> None:
-        client = http_client.HttpPlatform(base)
-        head = json.dumps({'version': 1, 'change_id': 'initial'}).encode()
-        await client.commit(
-            [interface.Check('config/head', 0)],
-            [interface.Write('config/head', head)],
-        )
-        await client.aclose()
-
-    anyio.run(commit)
-
-
 def _runs_by_key(fleet: fleet_module.Fleet) -> collections.Counter[str]:
     runs: collections.Counter[str] = collections.Counter()
     for target in fleet.document['target_by_name'].values():
