--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,226 @@
+"""Tests of the operators' commands."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import typing
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from tests.cli import conftest
+from wigeonhatch.cli import program
+
+CLOSED = '127.0.0.1:1'
+
+
+def _run(
+    capsys: pytest.CaptureFixture[str], *arguments: str
+) -> tuple[int, str, str]:
+    status = program.run(arguments)
+    captured = capsys.readouterr()
+    assert 'Traceback' not in captured.out + captured.err
+    assert conftest.CREDENTIAL not in captured.out + captured.err
+    return status, captured.out, captured.err
+
+
+def test_outputs_of_a_working_day(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    snapshot: SnapshotAssertion,
+) -> None:
+    """Guards against unintended changes of what operators and programs see."""
+    shown = []
+
+    def run(*arguments: str) -> None:
+        status, out, err = _run(capsys, *arguments)
+        for text, name in ((str(folder), 'DIR'), (server.address, 'ADDRESS')):
+            arguments = tuple(item.replace(text, name) for item in arguments)
+            out, err = out.replace(text, name), err.replace(text, name)
+        shown.append(
+            f'$ wigeonhatch {" ".join(arguments)}\n{out}{err}exit {status}\n'
+        )
+
+    hosts = f'--hosts={server.address}'
+    by = '--operator=ada'
+    run('check', str(folder))
+    run('show', hosts)
+    run('apply', str(folder), by, hosts)
+    run('apply', str(folder), by, hosts)
+    run('drain', 'rota-board-3', by, hosts)
+    patch = {'service_by_name': {'rota-board': {'slots': 6}}}
+    (folder / '90-more.json').write_text(json.dumps(patch))
+    run('diff', str(folder), hosts)
+    run('apply', str(folder), '--base=1', by, hosts)
+    server.scene.daemon.lagging = frozenset({'entry-2'})
+    server.scene.daemon.unreachable = frozenset({'entry-6'})
+    run('apply', str(folder), '--base=2', '--wait_ms=1', by, hosts)
+    run('status', hosts)
+    run('drain', 'nowhere', by, hosts, '--json')
+    run('undrain', 'rota-board-3', '--wait_ms=0', by, hosts, '--json')
+    (folder / '95-wrong.json').write_text('{"tuning": {"floor": 1}, "a": 2}')
+    run('check', str(folder))
+    run('apply', str(folder), by, hosts)
+    run('audit', '--limit=3', hosts)
+    assert '\n'.join(shown) == snapshot
+
+
+@pytest.mark.parametrize('name', ['', 'apply', 'codes'])
+def test_help(
+    name: str,
+    capsys: pytest.CaptureFixture[str],
+    snapshot: SnapshotAssertion,
+) -> None:
+    """Guards against commands without explanation or example."""
+    status, out, _ = _run(capsys, *([name] if name else []), '--help')
+    assert status == 0
+    assert out == snapshot
+
+
+def test_show_prints_the_document(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a document that differs from what was applied."""
+    hosts = f'--hosts={server.address}'
+    _run(capsys, 'apply', str(folder), hosts)
+    _, out, _ = _run(capsys, 'show', '--json', hosts)
+    document = json.loads(out)['value']['document']
+    merged: dict[str, typing.Any] = {}
+    for path in sorted(folder.glob('*.json')):
+        for section, items in json.loads(path.read_text()).items():
+            merged.setdefault(section, {}).update(items)
+    assert document == merged
+
+
+def test_names_that_look_like_numbers_stay_text(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against arguments that are turned into Python literals."""
+    names = ['10', '1e5', 'None', 'True', '0x1F', '1.0']
+    targets = {
+        name: {
+            'service': 'rota-board',
+            'domain': 'north-1',
+            'address': f'127.0.0.1:{8900 + index}',
+        }
+        for index, name in enumerate(names)
+    }
+    (folder / '90-names.json').write_text(
+        json.dumps({'target_by_name': targets})
+    )
+    hosts = f'--hosts={server.address}'
+    assert _run(capsys, 'apply', str(folder), hosts)[0] == 0
+    for name in names:
+        assert _run(capsys, 'drain', name, hosts)[0] == 0
+    current = server.scene.daemon.current
+    assert current is not None
+    assert sorted(current.config.drain_by_name) == sorted(names)
+
+
+def test_the_next_address_is_tried(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against commands that depend on one host."""
+    settings = tmp_path / 'operators.json'
+    credential = tmp_path / 'credential'
+    credential.write_text(conftest.CREDENTIAL + '\n')
+    settings.write_text(
+        json.dumps(
+            {
+                'operator_addresses': [CLOSED, server.address],
+                'credential_file': str(credential),
+            }
+        )
+    )
+    monkeypatch.delenv('WIGEONHATCH_CREDENTIAL')
+    monkeypatch.setenv('WIGEONHATCH_OPERATOR_SETTINGS', str(settings))
+    assert _run(capsys, 'apply', str(folder))[0] == 0
+    assert _run(capsys, 'status')[0] == 0
+    status, _, err = _run(capsys, 'status', f'--hosts={CLOSED}')
+    assert status == 9
+    assert f'{CLOSED}: ConnectError' in err
+
+
+def test_a_lost_response_is_resolved_without_a_second_write(
+    server: conftest.Server,
+    losing_proxy: conftest.LosingProxy,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a change that is applied twice or reported as failed."""
+    hosts = f'--hosts={losing_proxy.address},{server.address}'
+    status, out, _ = _run(capsys, 'apply', str(folder), hosts)
+    assert losing_proxy.lost > 0
+    assert (status, server.scene.daemon.accepted) == (0, [1])
+    assert out.startswith('version 1 accepted, change change0001\n')
+
+
+def test_a_write_without_known_outcome_is_reported_as_unknown(
+    server: conftest.Server,
+    losing_proxy: conftest.LosingProxy,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against claiming that a change did not take effect."""
+    monkeypatch.setattr('wigeonhatch.cli.client.RESOLVE_LIMIT_MS', 1)
+    status, _, err = _run(
+        capsys, 'apply', str(folder), f'--hosts={losing_proxy.address}'
+    )
+    assert status == 6
+    assert 'PLATFORM_UNKNOWN' in err
+    assert server.scene.daemon.accepted == [1]
+
+
+def test_a_wrong_credential_is_refused_and_not_shown(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against access with, and output of, a wrong credential."""
+    monkeypatch.setenv('WIGEONHATCH_CREDENTIAL', 'wrong-word')
+    hosts = f'--hosts={server.address}'
+    for arguments in (('apply', str(folder)), ('show',), ('audit',)):
+        status, out, err = _run(capsys, *arguments, hosts)
+        assert (status, out) == (1, '')
+        assert 'UNAUTHORIZED' in err
+        assert 'wrong-word' not in err
+    monkeypatch.setenv('WIGEONHATCH_CREDENTIAL', 'two words')
+    assert _run(capsys, 'show', hosts)[0] == 2
+    assert server.scene.daemon.accepted == []
+
+
+def test_module_runs_the_program() -> None:
+    """Guards against a package that cannot be run as a module."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'wigeonhatch', 'codes', '--json'],
+        cwd=pathlib.Path(__file__).parents[2],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert json.loads(done.stdout)['name'] == 'OK'
+
+
+def test_entry_reports_wrong_settings(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a daemon that starts with wrong settings."""
+    path = tmp_path / 'entry.json'
+    path.write_text('{"host": 1}')
+    status, _, err = _run(capsys, 'entry', str(path))
+    assert status == 2
+    assert f'{path}: host: ' in err
--- a/wigeonhatch/cli/commands.py
+++ b/wigeonhatch/cli/commands.py
@@ -58,7 +58,7 @@
         'customers': len(checked.value.customer_by_name),
         'drains': len(checked.value.drain_by_name),
     }
-    listed = ', '.join(f'{count} {name}' for name, count in counts.items())
+    listed = ', '.join(f'{name}: {count}' for name, count in counts.items())
     return _finish(json, counts, [f'{folder}: no errors; {listed}'])
 
 
@@ -92,7 +92,7 @@
     found = diffs.diff_documents(current.document, document)
     lines = [render.clean(str(item)) for item in found]
     lines.append(
-        f'{len(found)} differences from version {current.version}; '
+        f'differences from version {current.version}: {len(found)}; '
         f'`apply --base={current.version}` applies exactly these'
         if found
         else f'no differences from version {current.version}'
@@ -318,15 +318,17 @@
     if _arguments.is_set(as_json):
         _print_json(failure.code, failure.ran, failure.detail, None)
     else:
-        sys.stderr.write(
-            f'wigeonhatch: {failure.code.name} ({int(failure.code)}): '
-            f'{failure.info.meaning}\n'
-        )
+        sys.stderr.write(_title(failure.code))
         if failure.detail:
             sys.stderr.write(render.clean(failure.detail) + '\n')
     return failure.info.exit_status
 
 
+def _title(code: codes.ResultCode) -> str:
+    meaning = codes.INFO_BY_CODE[code].meaning
+    return f'wigeonhatch: {code.name} ({int(code)}): {meaning}\n'
+
+
 def _edit(
     path: str,
     name: str,
@@ -398,6 +400,8 @@
         if isinstance(confirmed, services.Confirmation)
         else None,
     }
+    if code is not codes.ResultCode.OK and not _arguments.is_set(json):
+        sys.stderr.write(_title(code))
     return _finish(json, value, lines, code)
 
 
