--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,80 @@
+"""Tests that the pages match the code."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import re
+import typing
+
+import pytest
+
+from wigeonhatch import settings
+from wigeonhatch.cli import access
+from wigeonhatch.cli import render
+from wigeonhatch.config import model
+
+DOCS = pathlib.Path(__file__).parents[1] / 'docs'
+CLASSES: list[typing.Any] = [
+    model.SteeringConfig,
+    model.Region,
+    model.Link,
+    model.Host,
+    model.Service,
+    model.Cap,
+    model.Target,
+    model.Customer,
+    model.Drain,
+    model.Tuning,
+    settings.Settings,
+    settings.Limits,
+    access.OperatorSettings,
+]
+
+
+def _default(field: dataclasses.Field[typing.Any]) -> str:
+    value = field.default
+    if field.default_factory is not dataclasses.MISSING:
+        value = field.default_factory()
+    if value is dataclasses.MISSING:
+        return 'required'
+    if dataclasses.is_dataclass(value):
+        return '`{}`'
+    return f'`{json.dumps(value)}`'
+
+
+def test_page_of_result_codes_matches_the_code() -> None:
+    """Guards against a page that explains other codes."""
+    page = (DOCS / 'result-codes.md').read_text()
+    assert page.splitlines() == list(render.code_page())
+
+
+@pytest.mark.parametrize('kind', CLASSES, ids=lambda kind: kind.__name__)
+def test_page_of_fields_matches_the_code(kind: typing.Any) -> None:
+    """Guards against fields or defaults that the page does not explain."""
+    page = (DOCS / 'configuration.md').read_text()
+    section = page.split(f'## Class: {kind.__name__}\n')[1].split('\n## ')[0]
+    rows = re.findall(
+        r'^\| `(\w+)` \|[^|]*\|[^|]*\| ([^|]*) \|', section, re.MULTILINE
+    )
+    expected = [
+        (field.name, _default(field)) for field in dataclasses.fields(kind)
+    ]
+    assert rows == expected
+
+
+def test_page_explains_each_class() -> None:
+    """Guards against classes that the page leaves out."""
+    page = (DOCS / 'configuration.md').read_text()
+    names = re.findall(r'^## Class: (\w+)$', page, re.MULTILINE)
+    assert names == [kind.__name__ for kind in CLASSES]
+    defined = {
+        name
+        for module in (model, settings, access)
+        for name, value in vars(module).items()
+        if dataclasses.is_dataclass(value)
+        and value.__module__ == module.__name__
+        and hasattr(value, '__pydantic_validator__')
+    }
+    assert defined == set(names)
