--- /dev/null
+++ b/wigeonhatch/entry/stop.py
@@ -0,0 +1,52 @@
+"""Graceful stop of a daemon."""
+
+from __future__ import annotations
+
+import logging
+
+from wigeonhatch.config import model
+from wigeonhatch.entry import control as controls
+from wigeonhatch.entry import serving as servings
+from wigeonhatch.peers import records
+
+CLOSE_MS = 200
+"""Time for the server to close its connections."""
+_POLL_MS = 50
+_ANNOUNCE_MS = 1_000
+"""Time until all reachable hosts have learned that this one drains."""
+_LOG = logging.getLogger(__name__)
+
+
+async def stop_gracefully(
+    control: controls.Control, serving: servings.Serving, bound_ms: int
+) -> bool:
+    """Hand over the targets and finish all requests in progress.
+
+    The host leaves the lookups at once and goes on to serve the callers that
+    hold an earlier response, through the hosts that take over.
+
+    Args:
+        control: Control plane.
+        serving: Data plane.
+        bound_ms: Longest time for requests in progress in ms, after the
+            lookup TTL.
+
+    Returns:
+        Whether all requests had ended within the bound.
+    """
+    clock = control.clock
+    started_ms = clock.now_ms
+    control.membership.set_state(records.HostState.DRAINING)
+    await clock.sleep_ms(_ANNOUNCE_MS)
+    await control.grantor.stop(bound_ms)
+    handed_over = await serving.lease_holder.hand_over(bound_ms)
+    _LOG.info('targets handed over: %s', handed_over)
+    while clock.now_ms - started_ms < model.LOOKUP_TTL_MS:
+        await clock.sleep_ms(_POLL_MS)
+    end_ms = clock.now_ms + bound_ms
+    while serving.in_progress:
+        if clock.now_ms >= end_ms:
+            _LOG.warning('%d requests interrupted', serving.in_progress)
+            return False
+        await clock.sleep_ms(_POLL_MS)
+    return True
