--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -98,6 +98,21 @@
     assert document == merged
 
 
+def test_progress_is_shown_on_a_terminal_only(
+    server: conftest.Server,
+    folder: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against silence on a terminal and noise in a pipe."""
+    hosts = f'--hosts={server.address}'
+    assert _run(capsys, 'apply', str(folder), hosts)[2] == ''
+    monkeypatch.setattr(sys.stderr, 'isatty', lambda: True, raising=False)
+    _, out, err = _run(capsys, 'drain', 'entry-1', hosts)
+    assert err == '\r7 of 7 reachable hosts have version 2\n'
+    assert 'version 2 accepted' in out
+
+
 def test_names_that_look_like_numbers_stay_text(
     server: conftest.Server,
     folder: pathlib.Path,
--- a/tests/operators/test_application.py
+++ b/tests/operators/test_application.py
@@ -46,6 +46,8 @@
     sent: list[typing.Any] = []
 
     async def receive() -> dict[str, typing.Any]:
+        if not pending:
+            await anyio.sleep_forever()
         body = pending.pop(0)
         more = bool(pending)
         return {'type': 'http.request', 'body': body, 'more_body': more}
@@ -178,6 +180,25 @@
         lambda: _exchange(_make_app(), 'POST', '/v1/apply', [b'x' * 600] * 2)
     )
     assert large.reply.name == 'BODY_TOO_LARGE'
+    monkeypatch.setattr(wire, 'MAX_BODY_MS', 1)
+    slow = anyio.run(lambda: _exchange(_make_app(), 'POST', '/v1/apply', []))
+    assert (slow.reply.name, slow.reply.ran) == ('SLOW_SENDER', 'not run')
+
+
+def test_a_write_that_takes_too_long_has_an_unknown_outcome(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a write that hangs, or is reported as not run."""
+    monkeypatch.setattr(wire, 'MAX_HANDLING_MS', 1)
+    app = _make_app()
+
+    async def hang(*given: object) -> None:
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(app._service, 'drain', hang)
+    body = msgspec.json.encode(wire.DrainBody('change01', 'ada', 'entry-1'))
+    got = anyio.run(lambda: _exchange(app, 'POST', '/v1/drain', [body]))
+    assert (got.reply.name, got.reply.ran) == ('PLATFORM_UNKNOWN', 'unknown')
 
 
 def test_faults_of_the_service_are_reported_without_stack(
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -36,6 +36,11 @@
     capacity: int
 
 
+ReadCounters = collections.abc.Callable[
+    [], collections.abc.Mapping[str, float]
+]
+
+
 class GaugeSource(typing.Protocol):
     """State that is read when the metrics are collected."""
 
@@ -66,16 +71,18 @@
         self._count_by_request: dict[tuple[str, str, int], int] = {}
         self._series_by_route: dict[tuple[str, str], _Series] = {}
         self._drain_by_kind: dict[str, _Series] = {}
-        self._control_us: collections.Counter[str] = collections.Counter()
-        self._control_bytes: collections.Counter[str] = collections.Counter()
         self._violations: collections.Counter[str] = collections.Counter()
         self._source: GaugeSource | None = None
+        self._read_control: ReadCounters | None = None
         self._window_start_ms = clock.now_ms
         self._histogram = histogram.HdrHistogram(
             1, MAX_LATENCY_US, _SIGNIFICANT_DIGITS
         )
         self._registry = registries.CollectorRegistry(auto_describe=False)
         self._registry.register(self)
+        prometheus_client.ProcessCollector(
+            namespace='wigeonhatch', registry=self._registry
+        )
 
     def watch(self, source: GaugeSource) -> None:
         """Read further state at each collection.
@@ -85,6 +92,14 @@
         """
         self._source = source
 
+    def watch_control(self, read: ReadCounters) -> None:
+        """Read the cost of the control plane at each collection.
+
+        Args:
+            read: Returns counters by name, for example `bytes_sent`.
+        """
+        self._read_control = read
+
     def on_request(
         self, service: str, region: str, code: codes.ResultCode, took_us: int
     ) -> None:
@@ -116,17 +131,6 @@
         """
         self._drain_by_kind.setdefault(kind, _Series()).add(took_us)
 
-    def on_control(self, activity: str, cpu_us: int, size_bytes: int) -> None:
-        """Count the cost of one step of the control plane.
-
-        Args:
-            activity: For example `exchange` or `lease`.
-            cpu_us: Processor time in us.
-            size_bytes: Bytes sent and received.
-        """
-        self._control_us[activity] += cpu_us
-        self._control_bytes[activity] += size_bytes
-
     def on_violation(self, invariant: str) -> None:
         """Count the violation of an invariant.
 
@@ -155,18 +159,13 @@
             ('kind',),
             {(kind,): item for kind, item in self._drain_by_kind.items()},
         )
-        yield _counter(
-            'wigeonhatch_control_cpu_seconds',
-            'Processor time of the control plane.',
-            'activity',
-            {name: us / 1e6 for name, us in self._control_us.items()},
-        )
-        yield _counter(
-            'wigeonhatch_control_bytes',
-            'Bytes of the control plane.',
-            'activity',
-            self._control_bytes,
-        )
+        if self._read_control is not None:
+            yield _counter(
+                'wigeonhatch_control',
+                'Messages, bytes and reads of the control plane.',
+                'counter',
+                self._read_control(),
+            )
         violations = collections.Counter(self._violations)
         if self._source is not None:
             violations.update(self._source.violations())
