--- /dev/null
+++ b/tests/config/test_check.py
@@ -0,0 +1,56 @@
+"""Tests of the checks of a configuration."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import typing
+
+import pytest
+
+from tests.operators import scene
+from wigeonhatch import outcome
+from wigeonhatch.config import check
+from wigeonhatch.config import merge
+
+# Each case has a file that is merged over the example, and the start of a
+# line that the check has to report.
+CASES: list[dict[str, typing.Any]] = json.loads(
+    pathlib.Path(__file__).with_name('wrong_files.json').read_text()
+)
+
+
+def _check(patches: list[object]) -> outcome.Success[typing.Any] | list[str]:
+    files = scene.example_files()
+    for number, patch in enumerate(patches):
+        files[f'9{number}-wrong.json'] = json.dumps(patch).encode()
+    merged = merge.merge_files(files)
+    assert isinstance(merged, outcome.Success)
+    result = check.check_merged(merged.value)
+    if isinstance(result, outcome.Success):
+        return result
+    return result.detail.splitlines()
+
+
+@pytest.mark.parametrize('example', ['caroni', 'tandem'])
+def test_examples_are_accepted(example: str) -> None:
+    """Guards against examples that operators cannot apply."""
+    merged = merge.merge_folder(str(scene.EXAMPLES / example))
+    assert isinstance(merged, outcome.Success)
+    assert isinstance(check.check_merged(merged.value), outcome.Success)
+
+
+@pytest.mark.parametrize('case', CASES, ids=lambda case: case['message'])
+def test_each_kind_of_error_is_described(case: dict[str, typing.Any]) -> None:
+    """Guards against wrong files that are accepted or poorly described."""
+    lines = _check([case['patch']])
+    assert isinstance(lines, list)
+    assert any(line.startswith(case['message']) for line in lines), lines
+
+
+def test_all_errors_are_reported_at_once() -> None:
+    """Guards against one error at a time, and against partial acceptance."""
+    lines = _check([case['patch'] for case in CASES])
+    assert isinstance(lines, list)
+    sections = {line.split(': ')[1].split('.')[0] for line in lines}
+    assert {'hosts', 'host_by_name', 'tuning', 'link_by_pair'} <= sections
