--- a/wigeonhatch/peers/_connection.py
+++ b/wigeonhatch/peers/_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import typing
 
 from grpclib import config as grpc_config
@@ -17,6 +18,11 @@
 """A connection on which nothing arrives for this time is closed."""
 
 
+def make_token(credential: str) -> str:
+    """Derive what is sent; metadata allows only printable ASCII."""
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
 def client_configuration() -> grpc_config.Configuration:
     """Return the settings of a channel, with a ping each second."""
     return grpc_config.Configuration(
--- a/wigeonhatch/peers/channels.py
+++ b/wigeonhatch/peers/channels.py
@@ -83,7 +83,8 @@
     ) -> None:
         host, port = settings.parse_address(address)
         super().__init__(host, port, config=_connection.client_configuration())
-        self._metadata = ((_connection.CREDENTIAL_KEY, credential),)
+        token = _connection.make_token(credential)
+        self._metadata = ((_connection.CREDENTIAL_KEY, token),)
         self._clock = clock
         self.failed_ms: int | None = None
         self._is_closed = False
--- a/wigeonhatch/peers/server.py
+++ b/wigeonhatch/peers/server.py
@@ -66,7 +66,7 @@
         self, credential: str, handlers: PeerHandlers, clock: clocks.Clock
     ) -> None:
         self.refused_count = 0
-        self._credential = credential.encode()
+        self._token = _connection.make_token(credential).encode()
         self._handlers = handlers
         self._clock = clock
         self._server: _WatchedServer | None = None
@@ -132,7 +132,7 @@
     async def _on_request(self, event: grpc_events.RecvRequest) -> None:
         sent = event.metadata.get(_connection.CREDENTIAL_KEY, '')
         if isinstance(sent, bytes) or not hmac.compare_digest(
-            sent.encode(), self._credential
+            sent.encode(), self._token
         ):
             self.refused_count += 1
             raise grpclib.GRPCError(
