--- /dev/null
+++ b/tests/requests/test_edge.py
@@ -0,0 +1,209 @@
+"""Tests of refusals at the callers' interface."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import pytest
+
+from tests.requests import rig as rigs
+from tests.targets import scripted
+from wigeonhatch import codes
+from wigeonhatch import settings
+from wigeonhatch.requests import server
+
+NOT_RUN = codes.Ran.NOT_RUN.value
+UNKNOWN = codes.Ran.UNKNOWN.value
+LOOKUP = '/.wigeonhatch/v1/lookup'
+DEADLINE = 'Wigeonhatch-Deadline-Ms'
+MARK = {'Wigeonhatch-Non-Idempotent': '1'}
+
+# Method, path, headers, body; then name, status and whether it ran.
+REFUSED: list[tuple[str, str, dict[str, str], bytes, str, int, str]] = [
+    ('GET', '/nope/x', {}, b'', 'UNKNOWN_SERVICE', 404, NOT_RUN),
+    ('GET', '/', {}, b'', 'UNKNOWN_SERVICE', 404, NOT_RUN),
+    (
+        'GET',
+        '/svc/x',
+        {'Wigeonhatch-Client': 'no'},
+        b'',
+        'BAD_CLIENT_ADDRESS',
+        400,
+        NOT_RUN,
+    ),
+    (
+        'GET',
+        '/svc/x',
+        {'Wigeonhatch-Customer': 'x'},
+        b'',
+        'UNKNOWN_CUSTOMER',
+        403,
+        NOT_RUN,
+    ),
+    ('PUT', '/svc/x', MARK, b'', 'KEY_REQUIRED', 400, NOT_RUN),
+    ('PUT', '/svc/x', rigs.keyed('x'), b'', 'KEY_MALFORMED', 400, NOT_RUN),
+    *(
+        (
+            'GET',
+            '/svc/x',
+            {DEADLINE: value},
+            b'',
+            'DEADLINE_INVALID',
+            400,
+            NOT_RUN,
+        )
+        for value in ('0', '-5', 'x', '60001')
+    ),
+    (
+        'GET',
+        '/svc/x',
+        {'X-Long': 'x' * 4_200},
+        b'',
+        'HEADER_TOO_LARGE',
+        431,
+        NOT_RUN,
+    ),
+    (
+        'PUT',
+        '/svc/x',
+        {'Content-Length': '2000000001'},
+        b'',
+        'BODY_TOO_LARGE',
+        413,
+        NOT_RUN,
+    ),
+    ('GET', f'{LOOKUP}?service=x', {}, b'', 'UNKNOWN_SERVICE', 404, NOT_RUN),
+    (
+        'GET',
+        f'{LOOKUP}?service=svc&client=1.2.3',
+        {},
+        b'',
+        'BAD_CLIENT_ADDRESS',
+        400,
+        NOT_RUN,
+    ),
+    (
+        'GET',
+        f'{LOOKUP}?service=svc&keys=65',
+        {},
+        b'',
+        'BAD_REQUEST',
+        400,
+        NOT_RUN,
+    ),
+    ('GET', '/.wigeonhatch/v2', {}, b'', 'NOT_FOUND', 404, NOT_RUN),
+]
+
+
+@scripted.on_loop
+async def test_bad_heads_are_refused_without_a_slot() -> None:
+    """Guards against a bad request that costs a slot, gets a wrong code or
+    stops the daemon from serving others."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.respond()) as target,
+    ):
+        rig.place('h1', target)
+        for method, path, headers, body, name, status, ran in REFUSED:
+            # Raw, since a client library refuses to send some of them.
+            lines = ''.join(f'{n}: {v}\r\n' for n, v in headers.items())
+            raw = await rig.send_raw(
+                'h1',
+                f'{method} {path} HTTP/1.1\r\nHost: x\r\n'
+                f'Connection: close\r\n{lines}\r\n'.encode()
+                + body,
+            )
+            assert raw.startswith(b'HTTP/1.1 %d' % status), (path, raw)
+            assert f'"name":"{name}","ran":"{ran}"'.encode() in raw
+        assert rig.hosts['h1'].slots.acquired == 0
+        rig.hosts['h1'].current = None
+        assert (await rig.call('h1')).verdict == ('NOT_READY', NOT_RUN)
+        rig.hosts['h1'].current = rig.versioned
+        assert (await rig.call('h1')).content == b'ok'
+        health = await rig.call('h1', path='/.wigeonhatch/v1/health')
+        assert health.json == {'state': 'ok'}
+
+
+HEAD = b'PUT /svc/x HTTP/1.1\r\nHost: x\r\n'
+# What a sender does, and the refusal.
+SENDERS = {
+    'no head': (b'', 'SLOW_SENDER'),
+    'half a head': (HEAD, 'SLOW_SENDER'),
+    'endless head': (HEAD + b'X: ' + b'x' * 5_000, 'HEADER_TOO_LARGE'),
+    'no HTTP': (b'\x16\x03\x01 nonsense\r\n\r\n', 'BAD_REQUEST'),
+    'half a body': (HEAD + b'Content-Length: 9\r\n\r\nhalf', 'SLOW_SENDER'),
+    'half a chunk': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n9\r\nhalf',
+        'SLOW_SENDER',
+    ),
+    'two lengths': (
+        HEAD + b'Content-Length: 9\r\nContent-Length: 8\r\n\r\n',
+        'BAD_REQUEST',
+    ),
+}
+
+
+@scripted.on_loop
+async def test_slow_and_broken_senders_hold_no_slot(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against senders that hold a slot or a connection for ever."""
+    monkeypatch.setattr(server, '_LINGER_S', 0.2)
+    limits = settings.Limits(max_body_gap_ms=300, max_header_bytes=4_096)
+    monkeypatch.setattr(rigs, 'LIMITS', limits)
+    async with rigs.running() as rig:
+        rig.hosts['h1'].slots.targets = ['never used']
+        calls = [rig.send_raw('h1', data) for data, _ in SENDERS.values()]
+        answers = await asyncio.gather(*calls)
+        for raw, (_, name) in zip(answers, SENDERS.values(), strict=True):
+            assert f'"name":"{name}","ran":"{NOT_RUN}"'.encode() in raw, raw
+        assert rig.hosts['h1'].slots.acquired == 0
+
+
+@scripted.on_loop
+async def test_short_body_is_refused() -> None:
+    """Guards against a sender that closes early and learns nothing."""
+    async with rigs.running() as rig:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', rig.port_by_host['h1']
+        )
+        writer.write(HEAD + b'Content-Length: 9\r\n\r\nhalf')
+        writer.write_eof()
+        raw = await reader.read()
+        assert b'"name":"BODY_LENGTH_MISMATCH"' in raw
+        await scripted.until(lambda: rig.hosts['h1'].summaries)
+        assert rig.hosts['h1'].slots.acquired == 0
+        writer.close()
+
+
+@scripted.on_loop
+async def test_refusal_of_an_upload_reaches_the_sender() -> None:
+    """Guards against a reset that hides the refusal from a caller that is
+    still sending."""
+    async with rigs.running() as rig:
+        raw = await rig.send_raw(
+            'h1',
+            HEAD
+            + b'Content-Length: 300000\r\nConnection: close\r\n\r\n'
+            + b'x' * 300_000,
+        )
+        assert b'"name":"NO_CAPACITY","ran":"not run"' in raw
+
+
+@scripted.on_loop
+async def test_connection_limit_holds() -> None:
+    """Guards against callers that use up the file descriptors."""
+    async with rigs.running() as rig:
+        port = rig.port_by_host['h1']
+        writers: list[typing.Any] = []
+        for _ in range(rigs.LIMITS.max_connections):
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writers.append(writer)
+        raw = await rig.send_raw('h1', HEAD + b'\r\n')
+        assert b'"name":"TOO_MANY_CONNECTIONS"' in raw
+        for writer in writers:
+            writer.close()
+        await asyncio.sleep(0.1)
+        health = await rig.call('h1', path='/.wigeonhatch/v1/health')
+        assert health.status == 200
--- a/wigeonhatch/requests/_head.py
+++ b/wigeonhatch/requests/_head.py
@@ -7,6 +7,7 @@
 import itertools
 import secrets
 import typing
+import urllib.parse
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
@@ -39,6 +40,23 @@
     return f'{_PROCESS_ID}-{next(_NUMBERS):x}'
 
 
+def parse_query(query: bytes) -> dict[str, str]:
+    """Split a query string.
+
+    Args:
+        query: Query string as sent.
+
+    Returns:
+        Last value of each name.
+    """
+    text = query.decode('ascii', 'replace')
+    if '%' in text or '+' in text:
+        return dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+    # Four times as fast as the library, which costs a tenth of a lookup.
+    items = (item.partition('=') for item in text.split('&'))
+    return {name: value for name, _, value in items}
+
+
 @functools.lru_cache(_CACHED_BUCKETS)
 def find_bucket(service: str, address: str) -> int | None:
     """Find the hash bucket of a client.
--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import collections.abc
-import ipaddress
 import logging
 import typing
-import urllib.parse
 
 import anyio
 import msgspec
@@ -292,12 +290,7 @@
         versioned = self._config.current
         if versioned is None:
             return outcome.Failure(codes.ResultCode.NOT_READY)
-        query = dict(
-            urllib.parse.parse_qsl(
-                scope['query_string'].decode('ascii', 'replace'),
-                keep_blank_values=True,
-            )
-        )
+        query = _head.parse_query(scope['query_string'])
         service = query.get('service', '')
         if service not in versioned.config.service_by_name:
             return outcome.Failure(
@@ -305,9 +298,7 @@
                 f'no service {service[:64]!r}',
             )
         client = query.get('client') or _head.client_address(scope)
-        try:
-            ipaddress.ip_address(client)
-        except ValueError:
+        if _head.find_bucket(service, client) is None:
             return outcome.Failure(
                 codes.ResultCode.BAD_CLIENT_ADDRESS,
                 f'{client[:64]!r} is no IP address',
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -32,6 +32,7 @@
         super().connection_made(typing.cast('asyncio.Transport', transport))
         self._is_refused = False
         self._is_in_head = False
+        self._closes = False
         self._head_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         if len(self.connections) > self.limits.max_connections:
@@ -94,11 +95,17 @@
         self._is_in_head = False
         self._disarm()
         super().on_headers_complete()
+        # uvicorn would close at the end of the response, which resets the
+        # connection if the caller is still sending.
+        self._closes = not self.cycle.keep_alive
+        self.cycle.keep_alive = True
 
     def on_message_complete(self) -> None:
         """Keep the connection if a refused body has been read to its end."""
         if self.cycle.response_complete:
             self._disarm()
+            if self._closes:
+                self.transport.close()
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
@@ -106,6 +113,8 @@
         cycle = self.cycle
         if cycle.response_complete and cycle.more_body:
             self._arm(_LINGER_S, self.transport.close)
+        elif self._closes:
+            self.transport.close()
         super().on_response_complete()
 
     def send_400_response(self, msg: str) -> None:
