--- a/wigeonhatch/steering/split.py
+++ b/wigeonhatch/steering/split.py
@@ -181,6 +181,9 @@
             state = self._state_by_service.get(name)
             if state is None:
                 limit = limiter.ShiftLimiter(self._clock, service.shift_cap)
+                # An earlier incarnation of this host may have moved as much
+                # as the cap right before it ended.
+                limit.allow(limit.limit)
                 self._state_by_service[name] = _ServiceState(limit)
             else:
                 state.limit.configure(service.shift_cap)
