Report usage errors as JSON and keep the stack of a daemon in its log

An unexpected error of the daemon was reduced to one line; its stack now goes to the log when logging is configured.

300 damaged documents are checked without an exception.

--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import random
 import typing
 
 import pytest
@@ -12,6 +13,7 @@
 from wigeonhatch import outcome
 from wigeonhatch.config import check
 from wigeonhatch.config import merge
+from wigeonhatch.steering import ownership
 
 # Each case has a file that is merged over the example, and the start of a
 # line that the check has to report.
@@ -54,3 +56,34 @@
     assert isinstance(lines, list)
     sections = {line.split(': ')[1].split('.')[0] for line in lines}
     assert {'hosts', 'host_by_name', 'tuning', 'link_by_pair'} <= sections
+
+
+def _replace_some(rng: random.Random, value: typing.Any) -> typing.Any:
+    if rng.random() < 0.02:
+        return rng.choice([None, True, -1, 1e300, 10**30, '', 'x', [], {}])
+    if isinstance(value, dict):
+        return {
+            key
+            if rng.random() > 0.01
+            else rng.choice(['', 'a/b', '\0', key]): (
+                _replace_some(rng, inner)
+            )
+            for key, inner in value.items()
+        }
+    return value
+
+
+def test_damaged_documents_never_raise() -> None:
+    """Guards against a check that fails instead of describing an error."""
+    merged = merge.merge_folder(str(scene.EXAMPLES / 'caroni'))
+    assert isinstance(merged, outcome.Success)
+    rng = random.Random(1)
+    for _ in range(300):
+        document = _replace_some(rng, merged.value.document)
+        if not isinstance(document, dict):
+            continue
+        result = check.check_document(document)
+        if isinstance(result, outcome.Success):
+            ownership.assign_owners(result.value)
+        else:
+            assert '; allowed: ' in result.detail
--- a/wigeonhatch/cli/program.py
+++ b/wigeonhatch/cli/program.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import inspect
+import logging
 import os
 import sys
 
@@ -12,6 +13,7 @@
 from wigeonhatch.cli import _arguments
 from wigeonhatch.cli import commands
 
+_LOG = logging.getLogger(__name__)
 _INTERRUPTED = 130
 _HELP = frozenset({'help', '--help', '-h'})
 
@@ -42,7 +44,10 @@
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return codes.INFO_BY_CODE[codes.ResultCode.OK].exit_status
     except Exception as error:
-        # Operators get the error in one line; the stack does not help them.
+        # Operators get the error in one line; the log of a daemon has the
+        # stack.
+        if logging.getLogger().handlers:
+            _LOG.exception('the command failed')
         return commands.report(
             outcome.Failure(
                 codes.ResultCode.INTERNAL, f'{type(error).__name__}: {error}'
@@ -57,21 +62,24 @@
     name, rest = arguments[0], arguments[1:]
     command = commands.COMMAND_BY_NAME.get(name)
     if command is None:
-        return _refuse(f'unknown command {name[:80]!r}', name)
+        return _refuse(f'unknown command {name[:80]!r}', name, rest)
     if any(argument in _HELP - {'help'} for argument in rest):
         return _print_help([name])
     bound = _arguments.bind(command, rest, commands.SWITCHES)
     if isinstance(bound, outcome.Failure):
-        return _refuse(bound.detail, name)
+        return _refuse(bound.detail, name, rest)
     return bound.value()
 
 
-def _refuse(detail: str, name: str) -> int:
+def _refuse(
+    detail: str, name: str, rest: collections.abc.Sequence[str]
+) -> int:
     hint = f'wigeonhatch {name} --help'
     if name not in commands.COMMAND_BY_NAME:
         hint = 'wigeonhatch --help'
     return commands.report(
-        outcome.Failure(codes.ResultCode.USAGE, f'{detail}\nsee `{hint}`'), ''
+        outcome.Failure(codes.ResultCode.USAGE, f'{detail}\nsee `{hint}`'),
+        str('--json' in rest),
     )
 
 
@@ -79,7 +87,7 @@
     for name in names:
         command = commands.COMMAND_BY_NAME.get(name)
         if command is None:
-            return _refuse(f'unknown command {name[:80]!r}', name)
+            return _refuse(f'unknown command {name[:80]!r}', name, ())
         print(inspect.getdoc(command))
         return codes.INFO_BY_CODE[codes.ResultCode.OK].exit_status
     print('wigeonhatch COMMAND ...\n\nCommands:')
