--- a/wigeonhatch/config/check.py
+++ b/wigeonhatch/config/check.py
@@ -57,7 +57,7 @@
         The checked configuration, or `CONFIG_INVALID` with one line for each
         problem.
     """
-    return check_merged(merge.Merged(document, {}))
+    return check_merged(merge.Merged(document))
 
 
 def check_merged(
--- a/wigeonhatch/config/merge.py
+++ b/wigeonhatch/config/merge.py
@@ -20,17 +20,30 @@
 _MAX_DEPTH = 32
 
 
+@dataclasses.dataclass(slots=True)
+class Origin:
+    """Last file that contributed to a value.
+
+    Args:
+        file: Name of the file.
+        origin_by_key: Origin of each value of an object.
+    """
+
+    file: str = problems.MERGED_SOURCE
+    origin_by_key: dict[str, Origin] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Merged:
     """Merged document and the origin of its values.
 
     Args:
         document: Result of the merge, without nulls.
-        file_by_path: Last file that contributed to each path.
+        origin: Origin of the document.
     """
 
     document: Document
-    file_by_path: dict[Path, str]
+    origin: Origin = dataclasses.field(default_factory=Origin)
 
     def source(self, path: Path) -> str:
         """Name the file that a value or its nearest ancestor came from.
@@ -38,11 +51,13 @@
         Args:
             path: Path in the document; the value may be missing.
         """
-        for length in range(len(path), -1, -1):
-            file = self.file_by_path.get(path[:length])
-            if file is not None:
-                return file
-        return problems.MERGED_SOURCE
+        origin = self.origin
+        for key in path:
+            inner = origin.origin_by_key.get(key)
+            if inner is None:
+                break
+            origin = inner
+        return origin.file
 
 
 def read_folder(
@@ -116,14 +131,14 @@
         The merged document, or `CONFIG_INVALID` with one line for each
         problem of any file.
     """
-    merged = Merged({}, {})
+    merged = Merged({})
     found: list[problems.Problem] = []
     for name in sorted(content_by_name):
         parsed = _parse_file(name, content_by_name[name])
         if isinstance(parsed, problems.Problem):
             found.append(parsed)
         else:
-            _merge_into(merged.document, parsed, (), name, merged.file_by_path)
+            _merge_into(merged.document, parsed, merged.origin, name)
     if found:
         return problems.fail(found)
     return outcome.Success(merged)
@@ -158,33 +173,22 @@
 
 
 def _merge_into(
-    document: Document,
-    patch: Document,
-    path: Path,
-    file: str,
-    file_by_path: dict[Path, str],
+    document: Document, patch: Document, origin: Origin, file: str
 ) -> None:
-    file_by_path[path] = file
+    origin.file = file
     for key, value in patch.items():
-        inner = (*path, key)
         if value is None:
             document.pop(key, None)
-            _forget(inner, file_by_path)
+            origin.origin_by_key.pop(key, None)
         elif isinstance(value, dict):
             if not isinstance(document.get(key), dict):
-                _forget(inner, file_by_path)
                 document[key] = {}
-            _merge_into(document[key], value, inner, file, file_by_path)
+                origin.origin_by_key[key] = Origin()
+            inner = origin.origin_by_key[key]
+            _merge_into(document[key], value, inner, file)
         else:
-            if isinstance(document.get(key), dict):
-                _forget(inner, file_by_path)
             document[key] = value
-            file_by_path[inner] = file
-
-
-def _forget(path: Path, file_by_path: dict[Path, str]) -> None:
-    for known in [item for item in file_by_path if item[: len(path)] == path]:
-        del file_by_path[known]
+            origin.origin_by_key[key] = Origin(file)
 
 
 def _parse_file(name: str, content: bytes) -> Document | problems.Problem:
