--- a/wigeonhatch/operators/_committing.py
+++ b/wigeonhatch/operators/_committing.py
@@ -12,6 +12,7 @@
 from wigeonhatch.config import diff
 from wigeonhatch.config import head as heads
 from wigeonhatch.config import merge
+from wigeonhatch.config import model
 from wigeonhatch.operators import _reading
 from wigeonhatch.operators import records
 from wigeonhatch.platform import interface
@@ -24,6 +25,23 @@
 _MAX_NAMED_CHANGES = 20
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edited:
+    """New document, and what differs from the document of the base.
+
+    Args:
+        document: New document.
+        config: The same, checked.
+        content: The same, encoded for the object store.
+        differences: What changed; empty if nothing did.
+    """
+
+    document: merge.Document
+    config: model.SteeringConfig
+    content: bytes
+    differences: list[diff.Difference]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """One attempt to accept a document.
@@ -33,16 +51,14 @@
         operator: Name that the operator gave.
         action: What the operator asked for.
         base: Accepted configuration that the change replaces.
-        before: Document of the base.
-        after: New document, checked.
+        edited: Document that the change makes.
     """
 
     change_id: str
     operator: str
     action: str
     base: _reading.Head
-    before: merge.Document
-    after: merge.Document
+    edited: Edited
 
     @property
     def version(self) -> int:
@@ -80,7 +96,7 @@
             if the change did certainly not take effect, or
             `PLATFORM_UNKNOWN`.
         """
-        content = heads.encode_document(change.after)
+        content = change.edited.content
         stored = await self._store(change, content)
         if stored is not None:
             return stored
@@ -255,7 +271,7 @@
         ]
 
     def _audit_record(self, change: Change) -> records.AuditRecord:
-        differences = diff.diff_documents(change.before, change.after)
+        differences = change.edited.differences
         return records.AuditRecord(
             version=change.version,
             base_version=change.base.value.version,
--- a/wigeonhatch/operators/service.py
+++ b/wigeonhatch/operators/service.py
@@ -8,10 +8,14 @@
 import secrets
 import typing
 
+import anyio
+import anyio.to_thread
+
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.config import check
+from wigeonhatch.config import diff
 from wigeonhatch.config import drains
 from wigeonhatch.config import head as heads
 from wigeonhatch.config import merge
@@ -165,13 +169,12 @@
             The accepted version, or `CONFIG_INVALID`, `CONFLICT`,
             `PLATFORM_UNAVAILABLE` (no effect) or `PLATFORM_UNKNOWN`.
         """
-        merged = merge.merge_files(content_by_name)
-        if isinstance(merged, outcome.Failure):
-            return await self._refuse(request, 'apply', base_version, merged)
-        checked = check.check_merged(merged.value)
+        # In a thread, since a large folder would keep the requests of this
+        # host waiting: 7,300 hosts take 0.4 s.
+        checked = await anyio.to_thread.run_sync(_check_files, content_by_name)
         if isinstance(checked, outcome.Failure):
             return await self._refuse(request, 'apply', base_version, checked)
-        document = merged.value.document
+        document = checked.value
 
         def replace(
             current: merge.Document,
@@ -429,28 +432,20 @@
         before = await self._read_base(base.value)
         if isinstance(before, outcome.Failure):
             return before
-        after = edit(before.value)
-        if isinstance(after, outcome.Failure):
-            return after
-        if heads.encode_document(after.value) == heads.encode_document(
-            before.value
-        ):
+        edited = await anyio.to_thread.run_sync(
+            _make_edited, edit, before.value
+        )
+        if isinstance(edited, outcome.Failure):
+            return edited
+        if not edited.value.differences:
             return outcome.Success(Accepted(base.value.version, '', False))
-        checked = check.check_document(after.value)
-        if isinstance(checked, outcome.Failure):
-            return checked
         change = _committing.Change(
-            request.change_id,
-            request.operator,
-            action,
-            base,
-            before.value,
-            after.value,
+            request.change_id, request.operator, action, base, edited.value
         )
         written = await self._writer.write(change)
         if isinstance(written, outcome.Failure):
             return written
-        self._on_accepted(change, checked.value)
+        self._on_accepted(change)
         return outcome.Success(
             Accepted(written.value, request.change_id, True)
         )
@@ -466,9 +461,7 @@
             return outcome.Success(current.document)
         return await _reading.read_document(self._platform, head)
 
-    def _on_accepted(
-        self, change: _committing.Change, config: model.SteeringConfig
-    ) -> None:
+    def _on_accepted(self, change: _committing.Change) -> None:
         _LOG.info(
             'version %d accepted: %s by %s, change %s',
             change.version,
@@ -478,7 +471,10 @@
         )
         self._daemon.on_accepted(
             model.VersionedConfig(
-                change.version, change.change_id, config, change.after
+                change.version,
+                change.change_id,
+                change.edited.config,
+                change.edited.document,
             )
         )
 
@@ -517,3 +513,35 @@
         codes.ResultCode.UNKNOWN_NAME,
         f'the configuration has no host or target {name!r}',
     )
+
+
+def _check_files(
+    content_by_name: collections.abc.Mapping[str, bytes],
+) -> outcome.Success[merge.Document] | outcome.Failure:
+    merged = merge.merge_files(content_by_name)
+    if isinstance(merged, outcome.Failure):
+        return merged
+    checked = check.check_merged(merged.value)
+    if isinstance(checked, outcome.Failure):
+        return checked
+    return outcome.Success(merged.value.document)
+
+
+def _make_edited(
+    edit: _Edit, before: merge.Document
+) -> outcome.Success[_committing.Edited] | outcome.Failure:
+    """Edit and check a document; runs in a thread."""
+    after = edit(before)
+    if isinstance(after, outcome.Failure):
+        return after
+    checked = check.check_document(after.value)
+    if isinstance(checked, outcome.Failure):
+        return checked
+    return outcome.Success(
+        _committing.Edited(
+            after.value,
+            checked.value,
+            heads.encode_document(after.value),
+            diff.diff_documents(before, after.value),
+        )
+    )
