Handle characters that a terminal or UTF-8 does not have

An argument that is not UTF-8 ended as an internal error, and so did output to a terminal without the needed characters. The first is now a usage error; the second is written with escapes.

--- a/tests/cli/test_arguments.py
+++ b/tests/cli/test_arguments.py
@@ -23,7 +23,17 @@
         *('--limit=1e9', '--limit', '--base=x', '--wait_ms=-1', '--nojson'),
         *('--settings=/', '--settings=/dev/null', '--operator=\n', '--x=1'),
         *('-', '--', '---', '--=', '', ' ', '[1, 2]', '{"a": 1}', '(', '1e5'),
-        *('__class__', '--__init__=1', '--help=1', 'a.b', '/', '*', "'", '"'),
+        *(
+            '\udcff',
+            '__class__',
+            '--__init__=1',
+            '--help=1',
+            'a.b',
+            '/',
+            '*',
+            "'",
+            '"',
+        ),
     ]
 )
 ARGUMENTS = strategies.lists(WORDS | strategies.text(max_size=8), max_size=5)
--- a/wigeonhatch/cli/_arguments.py
+++ b/wigeonhatch/cli/_arguments.py
@@ -45,6 +45,8 @@
         # Both are separators to fire; the others reach members of objects.
         if argument in _RESERVED or argument.startswith('__'):
             return _usage(f'unexpected argument {argument!r}')
+        if not _is_unicode(argument):
+            return _usage(f'{argument!r} is not encoded as UTF-8')
     recorded: list[tuple[tuple[str, ...], dict[str, str]]] = []
 
     @functools.wraps(command)
@@ -87,6 +89,15 @@
     return argument
 
 
+def _is_unicode(text: str) -> bool:
+    # Bytes that are not UTF-8 arrive as lone surrogates.
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _discard(result: object) -> None:
     return None
 
--- a/wigeonhatch/cli/program.py
+++ b/wigeonhatch/cli/program.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import inspect
+import io
 import logging
 import os
 import sys
@@ -20,6 +21,10 @@
 
 def main() -> None:
     """Run the command line and exit with the status of the command."""
+    for stream in (sys.stdout, sys.stderr):
+        # A terminal may not have all characters of names and files.
+        if isinstance(stream, io.TextIOWrapper):
+            stream.reconfigure(errors='backslashreplace')
     sys.exit(run(sys.argv[1:]))
 
 
