--- /dev/null
+++ b/tests/requests/test_keys.py
@@ -0,0 +1,303 @@
+"""Tests of idempotency keys."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import httpcore
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from tests.requests import rig as rigs
+from tests.targets import scripted
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.requests import keys
+
+CODE = codes.ResultCode
+NOT_RUN = codes.Ran.NOT_RUN.value
+UNKNOWN = codes.Ran.UNKNOWN.value
+STORED = keys.StoredResponse(200, ((b'a', b'b'),), b'x' * 1_000)
+HOSTS = ('h1', 'h2.with~dots')
+SHED = scripted.respond(
+    b'', status=503, headers=b'Wigeonhatch-Ran: not run\r\n'
+)
+
+
+def code_of(result: object) -> codes.ResultCode | None:
+    """Code of a failure."""
+    return result.code if isinstance(result, outcome.Failure) else None
+
+
+def test_altered_keys_are_refused() -> None:
+    """Guards against keys that callers make up."""
+    table = keys.KeyTable('h1', 7, clocks.ManualClock())
+    (key,) = table.issue(1)
+    other = keys.KeyTable('h1', 7, clocks.ManualClock()).issue(1)[0]
+    host, incarnation, issued, serial, mac = key.split('.')
+    altered = [
+        '',
+        'x' * 600,
+        key[:-1],
+        other,
+        f'{host}.{incarnation}.{issued}.9.{mac}',
+        f'{host}.{incarnation}.{issued}ff.{serial}.{mac}',
+        f'{host}.{incarnation}.-1.{serial}.{mac}',
+        key.replace('h1', '\u00e9'),
+    ]
+    for text in altered:
+        assert code_of(table.begin(text)) is CODE.KEY_MALFORMED
+    assert isinstance(table.begin(key), keys.Started)
+
+
+def test_memory_is_bounded() -> None:
+    """Guards against unbounded memory and a bound that forgets a run."""
+    clock = clocks.ManualClock()
+    table = keys.KeyTable('h1', 7, clock, 3, 2 * STORED.size_bytes)
+    issued = table.issue(4)
+    for key in issued[:3]:
+        assert isinstance(table.begin(key), keys.Started)
+        assert table.mark_sent(key)
+        table.finish(key, STORED)
+    assert table.stored_bytes == 2 * STORED.size_bytes
+    assert code_of(table.begin(issued[0])) is CODE.ALREADY_RAN
+    assert table.begin(issued[1]) == keys.Replay(STORED)
+    assert code_of(table.begin(issued[1], b'x')) is CODE.BAD_REQUEST
+    refused = table.begin(issued[3])
+    assert code_of(refused) is CODE.NO_CAPACITY
+    clock.advance(keys.KEY_LIFETIME_MS)
+    assert code_of(table.begin(issued[0])) is CODE.KEY_EXPIRED
+    assert isinstance(table.begin(table.issue(1)[0]), keys.Started)
+    assert (len(table), table.stored_bytes) == (1, 0)
+
+
+class KeyMachine(stateful.RuleBasedStateMachine):
+    """Retry with the same key while hosts crash and restart.
+
+    Guards against a key that reaches a target twice.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clocks.ManualClock()
+        self.incarnation = 0
+        self.tables: dict[str, keys.KeyTable] = {}
+        self.issued: list[str] = []
+        self.in_progress: dict[str, keys.KeyTable] = {}
+        self.runs: dict[str, int] = {}
+        self.told_not_run: set[str] = set()
+        for host in HOSTS:
+            self.restart(host)
+
+    @stateful.rule(host=strategies.sampled_from(HOSTS))
+    def restart(self, host: str) -> None:
+        """Lose the memory of a host; requests in progress end with it."""
+        self.incarnation += 1
+        old = self.tables.get(host)
+        self.tables[host] = keys.KeyTable(
+            host, self.incarnation, self.clock, 4, 3 * STORED.size_bytes
+        )
+        for key, table in list(self.in_progress.items()):
+            if table is old:
+                del self.in_progress[key]
+
+    @stateful.rule(host=strategies.sampled_from(HOSTS))
+    def look_up(self, host: str) -> None:
+        """Issue a key."""
+        self.issued += self.tables[host].issue(1)
+
+    @stateful.precondition(lambda self: self.issued)
+    @stateful.rule(data=strategies.data())
+    def attempt(self, data: typing.Any) -> None:
+        """Start an attempt at the host that the key names."""
+        key = data.draw(strategies.sampled_from(self.issued))
+        parts = keys.parse_key(key)
+        assert parts is not None
+        table = self.tables[parts.host]
+        begun = table.begin(key)
+        if isinstance(begun, keys.Started):
+            assert key not in self.in_progress
+            assert not self.runs.get(key)
+            self.in_progress[key] = table
+        elif isinstance(begun, keys.Replay):
+            assert self.runs[key] == 1
+        elif begun.ran is codes.Ran.NOT_RUN:
+            assert not self.runs.get(key)
+        elif begun.ran is codes.Ran.RAN:
+            assert self.runs[key] == 1
+
+    @stateful.precondition(lambda self: self.in_progress)
+    @stateful.rule(
+        data=strategies.data(),
+        ending=strategies.sampled_from(['none', 'kept', 'not run', 'late']),
+    )
+    def end(self, data: typing.Any, ending: str) -> None:
+        """Send the request, or not, and end the attempt."""
+        key = data.draw(strategies.sampled_from(sorted(self.in_progress)))
+        table = self.in_progress.pop(key)
+        if ending == 'late':
+            self.clock.advance(keys.KEY_LIFETIME_MS)
+        if table.mark_sent(key):
+            assert not table.mark_sent(key)
+            table.violations -= 1
+            if ending == 'not run':
+                table.mark_not_run(key)
+            else:
+                self.runs[key] = self.runs.get(key, 0) + 1
+        if ending == 'not run':
+            table.forget(key)
+        else:
+            table.finish(key, STORED if ending == 'kept' else None)
+
+    @stateful.rule(duration_ms=strategies.sampled_from([1, 200_000, 400_000]))
+    def wait(self, duration_ms: int) -> None:
+        """Let keys expire."""
+        self.clock.advance(duration_ms)
+
+    @stateful.invariant()
+    def at_most_once(self) -> None:
+        """No key reaches a target twice; the memory stays bounded."""
+        assert all(count <= 1 for count in self.runs.values())
+        for table in self.tables.values():
+            assert len(table) <= 4
+            assert table.stored_bytes <= 3 * STORED.size_bytes
+            assert table.violations == 0
+
+
+TestKeyMachine = KeyMachine.TestCase
+TestKeyMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+# What the target does with the first request; result of the first attempt
+# and of the second one with the same key; requests that the target received.
+LOSSES = {
+    'served': (scripted.respond(b'one'), b'one', b'one', 1),
+    'lost': (scripted.drop, ('TARGET_LOST', UNKNOWN), 'same', 1),
+    'short': (
+        scripted.respond(b'o', declared=3),
+        'cut off',
+        ('RESPONSE_INCOMPLETE', 'ran'),
+        1,
+    ),
+    'hang': (
+        scripted.hang,
+        ('DEADLINE_EXCEEDED_RUNNING', UNKNOWN),
+        'same',
+        1,
+    ),
+    'long': (
+        scripted.respond(b'x' * 70_000),
+        b'x' * 70_000,
+        ('ALREADY_RAN', 'ran'),
+        1,
+    ),
+    'shed': (SHED, ('TARGET_SHED', NOT_RUN), b'two', 0),
+}
+
+
+@pytest.mark.parametrize(
+    'entry,owner', [('h1', 'h1'), ('h2', 'h1'), ('h2', 'h3'), ('h1', 'h3')]
+)
+@pytest.mark.parametrize('loss', LOSSES)
+@scripted.on_loop
+async def test_second_attempt_never_runs_again(
+    entry: str, owner: str, loss: str
+) -> None:
+    """Guards against a non-idempotent request that runs twice because its
+    first outcome was lost. The key is issued by h1; the entry host, the
+    issuer and the owner of the target are the same or different hosts."""
+    script, first, second, received = LOSSES[loss]
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(script) as target,
+    ):
+        rig.place(owner, target)
+        # The route of the issuer decides, not that of the entry host.
+        rig.hosts['h1'].routed = [owner]
+        rig.hosts['h2'].routed = ['h2']
+        key = await rig.issue('h1')
+        headers = {**rigs.keyed(key), 'Wigeonhatch-Deadline-Ms': '700'}
+        results: list[object] = []
+        for _ in range(2):
+            try:
+                answer = await rig.call(entry, 'PUT', headers=headers)
+            except httpcore.RemoteProtocolError:
+                results.append('cut off')
+                continue
+            is_refusal = 'wigeonhatch-code' in answer.headers
+            results.append(answer.verdict if is_refusal else answer.content)
+            if loss == 'shed':
+                # A remote owner is asked once, local targets three times.
+                received = 4 if owner == 'h1' else 2
+                target.scripts = [scripted.respond(b'two')]
+        expected = [first, first if second == 'same' else second]
+        assert results == expected
+        assert len(target.seen) == received
+        assert rig.hosts['h1'].keys.violations == 0
+
+
+@scripted.on_loop
+async def test_attempt_during_an_attempt_is_refused() -> None:
+    """Guards against two attempts at the same time, and against an outcome
+    that is lost with its caller."""
+    slow = scripted.respond(b'one', delay_s=0.3)
+    async with rigs.running() as rig, scripted.ScriptedTarget(slow) as target:
+        rig.place('h1', target)
+        headers: dict[str, str] = {}
+        for entry in ('h1', 'h2'):
+            target.seen.clear()
+            headers = rigs.keyed(await rig.issue('h1'))
+            call = asyncio.ensure_future(
+                rig.call(entry, 'PUT', headers=headers)
+            )
+            await scripted.until(lambda: target.seen)
+            answer = await rig.call('h2', 'PUT', headers=headers)
+            assert answer.verdict == ('IN_PROGRESS', UNKNOWN)
+            call.cancel()
+            await scripted.until(lambda: not rig.hosts['h1'].slots.grants)
+            answer = await rig.call('h2', 'PUT', headers=headers)
+            assert answer.content == b'one'
+            assert answer.headers['wigeonhatch-replayed'] == b'1'
+            assert len(target.seen) == 1
+        other = await rig.call('h1', 'PUT', headers=headers, path='/svc/y')
+        assert other.verdict == ('BAD_REQUEST', NOT_RUN)
+
+
+@scripted.on_loop
+async def test_lost_issuer_is_unknown() -> None:
+    """Guards against a second run, or "not run", when the host that issued
+    the key has crashed, restarted or cannot be reached."""
+    async with (
+        rigs.running() as rig,
+        scripted.ScriptedTarget(scripted.hang) as target,
+    ):
+        rig.place('h1', target)
+        headers = rigs.keyed(await rig.issue('h1'))
+        call = asyncio.ensure_future(rig.call('h2', 'PUT', headers=headers))
+        await scripted.until(lambda: target.seen)
+        rig.hosts['h2']._channels['h1'].close()
+        assert (await call).verdict == ('PEER_LOST', UNKNOWN)
+        await scripted.until(lambda: not rig.hosts['h1'].slots.grants)
+        again = await rig.call('h2', 'PUT', headers=headers)
+        assert again.json['ran'] == UNKNOWN
+        rig.hosts['h1'].build(incarnation=2)
+        lost = ('KEY_HOST_UNREACHABLE', UNKNOWN)
+        for entry in ('h1', 'h2'):
+            answer = await rig.call(entry, 'PUT', headers=headers)
+            assert answer.verdict == lost
+        del rig.peer_ports['h1']
+        answer = await rig.call('h2', 'PUT', headers=headers)
+        assert answer.verdict == lost
+        rig.peer_ports['h1'] = 1
+        rig.hosts['h2']._channels.clear()
+        answer = await rig.call('h2', 'PUT', headers=headers)
+        assert answer.verdict == lost
+        rig.hosts['h2'].links.has_room = False
+        answer = await rig.call('h2', 'PUT', headers=headers)
+        assert answer.verdict == ('LINK_FULL', UNKNOWN)
+        assert len(target.seen) == 1
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -151,6 +151,7 @@
         seen: scripted.Seen, writer: scripted.Writer
     ) -> None:
         await scripted.respond(b'a')(seen, writer)
+        await anyio.sleep(0.05)
         raise scripted.Close
 
     async with connected(close_after, scripted.respond(b'b')) as (
@@ -246,10 +247,13 @@
         for _ in range(400):
             yield b'a' * 65_536
 
+    async def refuse(seen: scripted.Seen, writer: scripted.Writer) -> None:
+        await scripted.respond(b'no', status=413)(seen, writer)
+        await scripted.hang(seen, writer)
+
     head = target_client.RequestHead('PUT', b'/svc/x', (), 400 * 65_536)
-    async with connected(scripted.respond(b'no', status=413)) as (
-        client,
-        target,
-    ):
+    async with connected(refuse) as (client, target):
         target.reads_body = False
-        assert await fetch(client, head, parts(), within_ms=20_000) == b'no'
+        end_ms = CLOCK.now_ms + 5_000
+        assert await fetch(client, head, parts(), within_ms=5_000) == b'no'
+        assert CLOCK.now_ms < end_ms
--- a/wigeonhatch/requests/keys.py
+++ b/wigeonhatch/requests/keys.py
@@ -231,11 +231,9 @@
             begun or its request may have reached a target before.
         """
         entry = self._find(key)
-        if (
-            entry is None
-            or entry.is_sent
-            or entry.state is not _State.IN_PROGRESS
-        ):
+        if entry is None:
+            return False
+        if entry.is_sent or entry.state is not _State.IN_PROGRESS:
             self._report('a key started twice', key)
             return False
         entry.is_sent = True
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -63,6 +63,8 @@
             self._is_reading_paused = True
             self._transport.pause_reading()
         _wake(self._reader)
+        # A waiting writer continues with the shorter wait.
+        _wake(self._writer)
 
     def eof_received(self) -> bool:
         """Record that the target closed its side."""
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -24,6 +24,8 @@
 # Below the 5 s after which common servers close idle connections, so that a
 # request rarely meets a connection that is being closed.
 IDLE_LIMIT_MS = 4_000
+# uvloop rounds timers to ms, so that one may fire just before its time.
+_TIMER_TOLERANCE_S = 0.005
 _DISCARD_LIMIT_BYTES = 4_096
 _BODYLESS_STATUSES = frozenset({204, 304})
 _NOT_RUN = codes.Ran.NOT_RUN
@@ -319,7 +321,7 @@
         connection.prepare(deadline_s)
 
         def is_expired() -> bool:
-            return loop_time() >= deadline_s
+            return loop_time() >= deadline_s - _TIMER_TOLERANCE_S
 
         def on_end(is_reusable: bool) -> None:
             self._put(connection, is_reusable)
