Keep the outcome of a non-idempotent request whose entry host is lost

Cause: when the forwarding host was lost or left, the issuer cancelled the request at the target, and later attempts with the key only learned that the outcome is unknown.

Change: the issuer runs a request with a small body in a task of its own, which ends at the deadline; a small response is recorded to its end even if it can no longer be passed on. Errors of h2 on a lost stream count as the loss of the peer.

A test cuts the channel between entry host and issuer and repeats the request through a third host; it received "unknown" before and the response now.

--- a/wigeonhatch/requests/_replies.py
+++ b/wigeonhatch/requests/_replies.py
@@ -16,11 +16,15 @@
 class RecordingReply:
     """Pass a response on and keep it while it is small.
 
+    A small response is kept to its end even if it can no longer be passed
+    on, so that a later attempt with the same key finds it.
+
     Args:
         inner: Where the response goes.
     """
 
     def __init__(self, inner: model.Reply) -> None:
+        self.failure: outcome.Failure | None = None
         self._inner = inner
         self._status = 0
         self._headers: fields.HeaderTuple = ()
@@ -47,7 +51,8 @@
         """Send the head."""
         self._status = status
         self._headers = headers
-        return await self._inner.start(status, headers)
+        self.failure = await self._inner.start(status, headers)
+        return None
 
     async def write(
         self, part: bytes, is_last: bool
@@ -58,7 +63,9 @@
             if len(self._body) > keys.MAX_STORED_RESPONSE_BYTES:
                 self._body = None
         self._is_complete = is_last
-        return await self._inner.write(part, is_last)
+        if self.failure is None:
+            self.failure = await self._inner.write(part, is_last)
+        return self.failure if self._body is None else None
 
 
 async def send_stored(
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -144,6 +144,8 @@
             )
         finally:
             self._end_key(request, recorder, result)
+        if isinstance(result, outcome.Success) and recorder.failure:
+            return recorder.failure
         return result
 
     async def run_local(self, exchange: Exchange) -> Result:
--- a/wigeonhatch/requests/forward_client.py
+++ b/wigeonhatch/requests/forward_client.py
@@ -11,6 +11,7 @@
 import anyio
 import grpclib
 import grpclib.exceptions
+import h2.exceptions
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
@@ -38,6 +39,7 @@
     grpclib.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
+    h2.exceptions.H2Error,
 )
 
 
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import typing
 
@@ -39,12 +40,18 @@
         forwarder: forward_client.ForwardClient,
         limits: settings.Limits,
     ) -> None:
-        self.in_progress = 0
+        self._handlers = 0
         self._clock = clock
         self._config = config
         self._runner = runner
         self._forwarder = forwarder
         self._limits = limits
+        self._tasks: set[asyncio.Task[attempts.Result]] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """Count the forwarded requests in progress."""
+        return max(self._handlers, len(self._tasks))
 
     async def handle(self, stream: typing.Any) -> None:
         """Run one forwarded request and send its response.
@@ -52,12 +59,12 @@
         Args:
             stream: grpclib stream of `ForwardRequest` and `ForwardReply`.
         """
-        self.in_progress += 1
+        self._handlers += 1
         try:
             result = await self._run(stream)
             await _send_end(stream, result)
         finally:
-            self.in_progress -= 1
+            self._handlers -= 1
 
     async def _run(self, stream: typing.Any) -> attempts.Result:
         message = await stream.recv_message()
@@ -85,7 +92,7 @@
         control = model.RequestControl()
         exchange = attempts.Exchange(request, body, reply, control)
         if request.key:
-            result = await self._runner.run_issued(exchange)
+            result = await self._run_issued(exchange, reply)
         else:
             result = await self._runner.run_local(exchange)
         if isinstance(result, outcome.Failure):
@@ -97,6 +104,23 @@
             )
         return result
 
+    async def _run_issued(
+        self, exchange: attempts.Exchange, reply: _StreamReply
+    ) -> attempts.Result:
+        running = self._runner.run_issued(exchange)
+        if not exchange.body.is_small:
+            return await running
+        # Continues when the forwarding host is lost, so that a later attempt
+        # with the same key finds the outcome; ends at the deadline.
+        task = asyncio.get_running_loop().create_task(running)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            reply.is_lost = True
+            raise
+
     def _check(self, head: peers_pb2.ForwardHead) -> outcome.Failure | None:
         versioned = self._config.current
         if versioned is None:
@@ -140,6 +164,7 @@
         region: str,
     ) -> None:
         self.is_started = False
+        self.is_lost = False
         self._stream = stream
         self._forwarder = forwarder
         self._request = request
@@ -157,18 +182,14 @@
         if not await self._take(forward_client.head_bytes(headers)):
             return self._link_full()
         self.is_started = True
-        await self._stream.send_message(
-            peers_pb2.ForwardReply(
-                head=peers_pb2.ForwardReplyHead(
-                    status=status,
-                    headers=[
-                        peers_pb2.Header(name=name, value=value)
-                        for name, value in headers
-                    ],
-                )
-            )
+        head = peers_pb2.ForwardReplyHead(
+            status=status,
+            headers=[
+                peers_pb2.Header(name=name, value=value)
+                for name, value in headers
+            ],
         )
-        return None
+        return await self._send(peers_pb2.ForwardReply(head=head))
 
     async def write(
         self, part: bytes, is_last: bool
@@ -181,9 +202,26 @@
                 self._is_bulk = True
             if not await self._take(len(piece)):
                 return self._link_full()
-            await self._stream.send_message(peers_pb2.ForwardReply(body=piece))
+            failure = await self._send(peers_pb2.ForwardReply(body=piece))
+            if failure is not None:
+                return failure
         return None
 
+    async def _send(
+        self, message: peers_pb2.ForwardReply
+    ) -> outcome.Failure | None:
+        if not self.is_lost:
+            try:
+                await self._stream.send_message(message)
+                return None
+            except forward_client.PEER_ERRORS:
+                self.is_lost = True
+        return outcome.Failure(
+            codes.ResultCode.CALLER_GONE,
+            'the forwarding host left',
+            codes.Ran.RAN,
+        )
+
     async def _take(self, size: int) -> bool:
         return await self._forwarder.take_tokens(
             self._region,
