--- a/wigeonhatch/outcome.py
+++ b/wigeonhatch/outcome.py
@@ -7,7 +7,7 @@
 
 from wigeonhatch import codes
 
-ValueT = typing.TypeVar('ValueT')
+ValueT = typing.TypeVar('ValueT', covariant=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonhatch/requests/dependencies.py
+++ b/wigeonhatch/requests/dependencies.py
@@ -3,49 +3,16 @@
 from __future__ import annotations
 
 import collections.abc
-import dataclasses
-import enum
 import typing
 
 from wigeonhatch import outcome
+from wigeonhatch.budget import slots
 from wigeonhatch.config import model
+from wigeonhatch.links import budget as link_budget
 
-
-class AttemptResult(enum.Enum):
-    """How an attempt at a target ended."""
-
-    SERVED = 'served'
-    SHED = 'shed'
-    CONNECT_FAILED = 'connect failed'
-    LOST = 'lost'
-    TIMEOUT = 'timeout'
-    CANCELLED = 'cancelled'
-
-
-class TrafficClass(enum.Enum):
-    """Class of bytes on a link between regions."""
-
-    SMALL = 'small'
-    BULK = 'bulk'
-
-
-@dataclasses.dataclass(frozen=True)
-class Demand:
-    """Request for a slot.
-
-    Args:
-        service: Name of the service.
-        customer: Name of the customer; empty for none.
-        idempotent: Whether the request may run more than once.
-        bucket: Hash bucket of the client.
-        on_preempt: Cancels the attempt; None if it is not preemptible.
-    """
-
-    service: str
-    customer: str
-    idempotent: bool
-    bucket: int
-    on_preempt: collections.abc.Callable[[], None] | None
+AttemptResult = slots.AttemptResult
+Demand = slots.Demand
+TrafficClass = link_budget.TrafficClass
 
 
 class SlotGrant(typing.Protocol):
--- a/wigeonhatch/settings.py
+++ b/wigeonhatch/settings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
 import os
 import pathlib
+import re
 import typing
 
 import pydantic
@@ -14,6 +16,7 @@
 from wigeonhatch import outcome
 
 CREDENTIAL_VARIABLE = 'WIGEONHATCH_CREDENTIAL'
+_PORT = re.compile('[0-9]{1,5}', re.ASCII)
 _STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
 Port = typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
 PositiveInt = typing.Annotated[int, pydantic.Field(gt=0)]
@@ -32,12 +35,11 @@
         ValueError: The text is no such address.
     """
     host, _, port = text.rpartition(':')
-    if not port.isdecimal() or not 0 < int(port) < 65536:
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise ValueError(f'{text!r} is not IP:PORT')
-    address = pydantic.TypeAdapter(pydantic.IPvAnyAddress).validate_python(
-        host.strip('[]')
-    )
-    return str(address), int(port)
+    if host.startswith('[') and host.endswith(']'):
+        return str(ipaddress.IPv6Address(host[1:-1])), int(port)
+    return str(ipaddress.IPv4Address(host)), int(port)
 
 
 def _check_address(text: str) -> str:
@@ -129,9 +131,10 @@
     """
     try:
         content = pathlib.Path(path).read_bytes()
-    except OSError as error:
+    except (OSError, ValueError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
         return outcome.Failure(
-            codes.ResultCode.SETTINGS_INVALID, f'{path}: {error.strerror}'
+            codes.ResultCode.SETTINGS_INVALID, f'{path}: {reason}'
         )
     try:
         settings = pydantic.TypeAdapter(Settings).validate_json(content)
@@ -152,19 +155,42 @@
     Returns:
         The credential, or `SETTINGS_INVALID` if there is none.
     """
-    if settings.credential_file:
+    return read_credential_from(settings.credential_file)
+
+
+def read_credential_from(
+    path: str,
+) -> outcome.Success[str] | outcome.Failure:
+    """Read a credential from a file or the environment.
+
+    Args:
+        path: File; the environment variable WIGEONHATCH_CREDENTIAL if empty.
+
+    Returns:
+        The credential, or `SETTINGS_INVALID` if there is none or it has
+        characters that an HTTP header cannot carry.
+    """
+    if path:
         try:
-            text = pathlib.Path(settings.credential_file).read_text()
-        except OSError as error:
+            text = pathlib.Path(path).read_text()
+        except (OSError, ValueError) as error:
+            reason = getattr(error, 'strerror', None) or 'not readable'
             return outcome.Failure(
                 codes.ResultCode.SETTINGS_INVALID,
-                f'credential_file: {error.strerror}',
+                f'credential_file: {reason}',
             )
     else:
         text = os.environ.get(CREDENTIAL_VARIABLE, '')
-    if not text.strip():
+    text = text.strip()
+    if not text:
         return outcome.Failure(
             codes.ResultCode.SETTINGS_INVALID,
             f'no credential: set credential_file or {CREDENTIAL_VARIABLE}',
         )
-    return outcome.Success(text.strip())
+    if not text.isascii() or not text.isprintable() or ' ' in text:
+        return outcome.Failure(
+            codes.ResultCode.SETTINGS_INVALID,
+            'the credential has other characters than printable ASCII '
+            'without spaces',
+        )
+    return outcome.Success(text)
