Wait for a slot and overflow single requests before refusing

A region of 37 slots is full for moments at 70% (mean 28 in use, deviation about 5), and one full moment moved a whole bucket for at least 5 s. Owners were asked with figures up to 1 s old, and each refusal of an owner was charged as a retry.

Change: a refusal to admit is no retry; after all hosts refused, the request waits up to 100 ms for a slot at one host; a request of a full region is served elsewhere without moving its bucket, counted against the failover cap as its part of the traffic; buckets move only when no host of the region can be reached. Customers' requests ask for routes to hosts that can reclaim a slot. The target stand-in frees its slot before the response ends, which explains the one request that found a target full.

Tests: the two routing tests that filled a region to move buckets now make it unreachable; new tests guard the overflow and the shared cap.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -78,6 +78,7 @@
     host: str = 'h1'
     region: str = 'r1'
     is_local: bool = True
+    is_spillover: bool = False
 
 
 class _Surroundings:
@@ -106,10 +107,13 @@
         return self._grant
 
     def routes(
-        self, service: str, bucket: int, bulk: bool
+        self, service: str, bucket: int, bulk: bool, reserved: bool
     ) -> typing.Iterator[dependencies.Route]:
         yield self._route
 
+    def on_request(self, service: str) -> None:
+        pass
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         return outcome.Failure(codes.ResultCode.REGION_UNAVAILABLE)
 
--- a/tests/steering/test_routing.py
+++ b/tests/steering/test_routing.py
@@ -56,6 +56,11 @@
         """Return the first route of a request."""
         return next(self.router.routes('ledger', bucket, False), None)
 
+    def count_requests(self, count: int) -> None:
+        """Count requests of callers."""
+        for _ in range(count):
+            self.router.on_request('ledger')
+
     def set_free(self, region: str, free: int) -> None:
         """Report free slots of both hosts of a region."""
         for at in (1, 2):
@@ -89,6 +94,7 @@
 def test_a_refusing_host_is_avoided_until_its_next_report() -> None:
     """Guards against a hop for each request to a host that is full."""
     host = Host('host-south-1')
+    host.count_requests(1_000)
     assert host.routes(NORTH)[:2] in (
         ['north-1', 'north-2'],
         ['north-2', 'north-1'],
@@ -138,10 +144,11 @@
 def test_buckets_return_slowly_and_within_half_the_cap() -> None:
     """Guards against flapping and against a rush to a cold region."""
     host = Host()
-    host.set_free('central', 0)
+    host.members.unreachable = {'host-central-1', 'host-central-2'}
     assert [bool(host.first(bucket)) for bucket in range(5)] == (
         [True] * 4 + [False]
     )
+    host.members.unreachable = set()
     host.clock.advance(15_001)
     host.set_free('central', 5)
     for free in (5, 0, 5):
@@ -161,9 +168,40 @@
     assert host.spillover.count_by_service == {'ledger': 0}
 
 
+def test_requests_overflow_from_a_full_region_within_the_cap() -> None:
+    """Guards against refusals beside free slots, and against a shift."""
+    host = Host()
+    host.count_requests(1_000)
+    host.set_free('central', 0)
+    regions = [
+        route.region if (route := host.first(CENTRAL)) else None
+        for _ in range(6)
+    ]
+    assert regions == ['north'] * 4 + [None] * 2
+    # The bucket itself has not moved, so it follows its region at once.
+    assert host.spillover.count_by_service == {'ledger': 0}
+    host.set_free('central', 5)
+    route = host.first(CENTRAL)
+    assert route is not None and route.region == 'central'
+
+
+def test_overflow_and_moved_buckets_share_the_cap() -> None:
+    """Guards against a cap that is used twice."""
+    host = Host()
+    host.count_requests(1_000)
+    host.set_free('south', 0)
+    assert host.first(SOUTH) and host.first(SOUTH)
+    host.members.unreachable = {'host-central-1', 'host-central-2'}
+    host.clock.advance(50)
+    assert [bool(host.first(bucket)) for bucket in range(4)] == (
+        [True] * 2 + [False] * 2
+    )
+
+
 def test_links_without_room_are_not_used() -> None:
     """Guards against a route over a full link, also for spillover."""
     host = Host()
+    host.count_requests(1_000)
     host.closed = {'central', 'south'}
     route = host.first(CENTRAL)
     assert route is not None
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -22,8 +22,13 @@
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
 
-# Longest wait of a customer within its reservation for a slot.
+# Longest wait of a customer within its reservation for a slot, at each host.
 RESERVATION_WAIT_MS = 100
+# Longest wait for a slot once all hosts have refused. At 95% of the capacity
+# a slot becomes free every few ms, so a short wait replaces a refusal.
+QUEUE_WAIT_MS = 100
+MAX_REFUSALS = 8
+"""Hosts that may refuse a request before it waits for a slot."""
 
 Result = outcome.Success[None] | outcome.Failure
 # Waits for a target end at the deadline; the rest ends this much later, so
@@ -109,6 +114,7 @@
         """
         request = exchange.request
         self._budget_by_service[request.service].on_request()
+        self._router.on_request(request.service)
         if not request.key:
             return await self._run_routes(exchange, is_key_held=False)
         parts = key_tables.parse_key(request.key)
@@ -148,16 +154,19 @@
             return recorder.failure
         return result
 
-    async def run_local(self, exchange: Exchange) -> Result:
+    async def run_local(self, exchange: Exchange, wait_ms: int) -> Result:
         """Run a request at a target of this host only.
 
         Args:
             exchange: The request, forwarded by another host.
+            wait_ms: Longest wait for a slot in ms.
 
         Returns:
             As `run`.
         """
-        return await self._attempt(exchange, None, is_key_held=False)
+        return await self._attempt(
+            exchange, None, is_key_held=False, wait_ms=wait_ms
+        )
 
     def _end_key(
         self,
@@ -194,49 +203,68 @@
         self, exchange: Exchange, is_key_held: bool
     ) -> Result:
         request = exchange.request
+        routes = self._routes(exchange)
         refused: set[str] = set()
+        queue: dependencies.Route | None = None
         last: outcome.Failure | None = None
         retries_left = retry.MAX_RETRIES
+        wait_ms = RESERVATION_WAIT_MS if request.customer else 0
+        is_waiting = False
         while True:
-            route = self._next_route(exchange, refused)
+            route = _next_route(routes, refused)
             if route is None:
-                return last or self._router.refusal(
-                    request.service, request.bucket
-                )
+                if last is None:
+                    return self._router.refusal(
+                        request.service, request.bucket
+                    )
+                if queue is None or is_waiting:
+                    return last
+                route = queue
+                is_waiting = True
+                wait_ms = QUEUE_WAIT_MS
+            elif queue is None or (route.is_local and not route.is_spillover):
+                queue = route
             result = await self._attempt(
                 exchange,
                 None if route.is_local else route.host,
                 is_key_held,
                 route.region,
+                wait_ms,
             )
             if isinstance(result, outcome.Success):
                 return result
+            if is_waiting and last and retry.is_admission_refusal(result):
+                return last
             last = result
             if exchange.reply.is_started or not retry.may_repeat(
                 result, request.is_idempotent, exchange.body.is_available
             ):
                 return result
-            if retry.is_refused_locally(result, route.is_local):
+            if retry.is_admission_refusal(result):
                 refused.add(route.host)
+                if len(refused) >= MAX_REFUSALS:
+                    routes = iter(())
                 continue
+            # The queue is for requests that found every host full.
+            queue = None
             if not route.is_local:
                 refused.add(route.host)
             budget = self._budget_by_service[request.service]
             if retries_left == 0 or not budget.take():
                 return result
             retries_left -= 1
+            routes = self._routes(exchange)
 
-    def _next_route(
-        self, exchange: Exchange, refused: collections.abc.Set[str]
-    ) -> dependencies.Route | None:
+    def _routes(
+        self, exchange: Exchange
+    ) -> collections.abc.Iterator[dependencies.Route]:
         request = exchange.request
-        routes = self._router.routes(
-            request.service, request.bucket, exchange.body.is_bulk
+        return self._router.routes(
+            request.service,
+            request.bucket,
+            exchange.body.is_bulk,
+            bool(request.customer),
         )
-        for route in routes:
-            if route.host not in refused:
-                return route
-        return None
 
     async def _attempt(
         self,
@@ -244,6 +272,7 @@
         remote: str | None,
         is_key_held: bool,
         region: str = '',
+        wait_ms: int = 0,
         progress: model.Progress | None = None,
     ) -> Result:
         key = exchange.request.key
@@ -265,10 +294,16 @@
             ) as scope:
                 exchange.control.enter(scope)
                 if remote is None:
-                    result = await self._run_at_target(exchange, progress)
+                    result = await self._run_at_target(
+                        exchange, progress, wait_ms
+                    )
                 else:
                     result = await self._forward(
-                        exchange, remote, region, is_key_held, progress
+                        forward_client.Destination(
+                            remote, region, is_key_held, wait_ms
+                        ),
+                        exchange,
+                        progress,
                     )
             cause = exchange.control.leave()
             if result is None:
@@ -286,10 +321,8 @@
 
     async def _forward(
         self,
+        destination: forward_client.Destination,
         exchange: Exchange,
-        host: str,
-        region: str,
-        is_key_held: bool,
         progress: model.Progress,
     ) -> Result:
         def on_sent() -> None:
@@ -297,7 +330,7 @@
             self._detach(exchange)
 
         return await self._forwarder.forward(
-            forward_client.Destination(host, region, is_owner=is_key_held),
+            destination,
             exchange.request,
             exchange.body,
             exchange.reply,
@@ -306,10 +339,10 @@
         )
 
     async def _run_at_target(
-        self, exchange: Exchange, progress: model.Progress
+        self, exchange: Exchange, progress: model.Progress, wait_ms: int
     ) -> Result:
         request = exchange.request
-        acquired = await self._acquire(exchange)
+        acquired = await self._acquire(exchange, wait_ms)
         if isinstance(acquired, outcome.Failure):
             return acquired
         grant = acquired.value
@@ -361,7 +394,7 @@
             release()
 
     async def _acquire(
-        self, exchange: Exchange
+        self, exchange: Exchange, wait_ms: int
     ) -> outcome.Success[dependencies.SlotGrant] | outcome.Failure:
         request = exchange.request
 
@@ -379,11 +412,11 @@
             if request.is_idempotent and exchange.body.is_small
             else None,
         )
-        if not request.customer:
+        if not wait_ms:
             return self._slots.acquire(demand)
-        wait_ms = request.deadline_ms - self._clock.now_ms
+        remaining_ms = request.deadline_ms - self._clock.now_ms
         return await self._slots.acquire_within(
-            demand, max(0, min(RESERVATION_WAIT_MS, wait_ms))
+            demand, max(0, min(wait_ms, remaining_ms))
         )
 
     def _detach(self, exchange: Exchange) -> None:
@@ -407,6 +440,13 @@
         )
 
 
+def _next_route(
+    routes: collections.abc.Iterator[dependencies.Route],
+    refused: collections.abc.Set[str],
+) -> dependencies.Route | None:
+    return next((route for route in routes if route.host not in refused), None)
+
+
 async def _pass_on(
     response: target_client.TargetResponse,
     reply: model.Reply,
--- a/wigeonhatch/requests/dependencies.py
+++ b/wigeonhatch/requests/dependencies.py
@@ -55,15 +55,22 @@
     def is_local(self) -> bool:
         """Whether the host is this one."""
 
+    @property
+    def is_spillover(self) -> bool:
+        """Whether the region is not the assigned one."""
+
 
 class Router(typing.Protocol):
     """Routes of a request, best first."""
 
     def routes(
-        self, service: str, bucket: int, bulk: bool
+        self, service: str, bucket: int, bulk: bool, reserved: bool
     ) -> collections.abc.Iterator[Route]:
         """Yield the routes that may be used now."""
 
+    def on_request(self, service: str) -> None:
+        """Count a request that a caller sent to this host."""
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         """Explain why there is no route."""
 
--- a/wigeonhatch/requests/forward_client.py
+++ b/wigeonhatch/requests/forward_client.py
@@ -52,11 +52,13 @@
         region: Its region; empty if it has to be looked up.
         is_owner: Whether the host sends the request to its own targets, as
             opposed to running it as the issuer of the request's key.
+        wait_ms: Longest time that the host may wait for a slot, in ms.
     """
 
     host: str
     region: str
     is_owner: bool
+    wait_ms: int = 0
 
 
 def head_bytes(headers: fields.HeaderTuple) -> int:
@@ -206,14 +208,14 @@
         self,
         request: model.CallerRequest,
         body: bodies.RequestBody,
-        is_owner: bool,
+        destination: Destination,
     ) -> peers_pb2.ForwardHead:
         """Build the head message.
 
         Args:
             request: Checked head.
             body: Body of the request.
-            is_owner: Whether the receiver uses its own targets.
+            destination: Host that receives the message.
         """
         headers = [
             peers_pb2.Header(name=name, value=value)
@@ -231,10 +233,11 @@
             deadline_ms=self.remaining_ms(request),
             customer=request.customer,
             non_idempotent=not request.is_idempotent,
-            key='' if is_owner else request.key,
+            key='' if destination.is_owner else request.key,
             bucket=request.bucket,
             body_length=body.length,
             sender_region=self._region,
+            wait_ms=destination.wait_ms,
         )
 
     def _region_of(self, host: str) -> str | None:
@@ -282,7 +285,7 @@
         on_sent()
         self._is_sent = True
         head = self._client.build_head(
-            self._request, self._body, self._destination.is_owner
+            self._request, self._body, self._destination
         )
         await stream.send_message(peers_pb2.ForwardRequest(head=head))
         if not self._body.is_small:
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -94,7 +94,7 @@
         if request.key:
             result = await self._run_issued(exchange, reply)
         else:
-            result = await self._runner.run_local(exchange)
+            result = await self._runner.run_local(exchange, head.wait_ms)
         if isinstance(result, outcome.Failure):
             LOG.info(
                 'forwarded request %s ended with %s: %s',
--- a/wigeonhatch/requests/retry.py
+++ b/wigeonhatch/requests/retry.py
@@ -11,6 +11,9 @@
 _BURST_RETRIES = 10
 _TOKEN_SIZE = 100
 
+_ADMISSION_CODES = frozenset(
+    {codes.ResultCode.NO_CAPACITY, codes.ResultCode.LINK_FULL}
+)
 # Results of the request itself, which another attempt cannot change.
 _FINAL_CODES = frozenset(
     {
@@ -76,17 +79,16 @@
     return is_idempotent or failure.ran is codes.Ran.NOT_RUN
 
 
-def is_refused_locally(failure: outcome.Failure, is_local: bool) -> bool:
-    """Tell whether an attempt ended before it cost anything.
+def is_admission_refusal(failure: outcome.Failure) -> bool:
+    """Tell whether an attempt ended before a target was involved.
 
     Args:
         failure: Result of the attempt.
-        is_local: Whether this host admits for the route.
 
     Returns:
-        True if this host itself refused, so that trying the next route is
-        no retry.
+        True if a host refused to admit the request, so that trying the next
+        route is no retry and puts no load on targets.
     """
-    if failure.code is codes.ResultCode.LINK_FULL:
-        return failure.ran is codes.Ran.NOT_RUN
-    return is_local and failure.code is codes.ResultCode.NO_CAPACITY
+    return (
+        failure.code in _ADMISSION_CODES and failure.ran is codes.Ran.NOT_RUN
+    )
--- a/wigeonhatch/standins/target.py
+++ b/wigeonhatch/standins/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import hashlib
 import typing
@@ -131,12 +132,15 @@
         self.stats.in_use += 1
         self.stats.last_request_ms = self._clock.now_ms
         self.stats.max_in_use = max(self.stats.max_in_use, self.stats.in_use)
-        try:
+        slot = contextlib.ExitStack()
+        slot.callback(self._release)
+        with slot:
             async with anyio.create_task_group() as tasks:
-                await self._serve(scope, receive, send, tasks)
+                await self._serve(scope, receive, send, tasks, slot)
                 tasks.cancel_scope.cancel()
-        finally:
-            self.stats.in_use -= 1
+
+    def _release(self) -> None:
+        self.stats.in_use -= 1
 
     async def _serve(
         self,
@@ -144,6 +148,7 @@
         receive: _asgi.Receive,
         send: _asgi.Send,
         tasks: typing.Any,
+        slot: contextlib.ExitStack,
     ) -> None:
         headers = dict(scope['headers'])
         request_id = headers.get(b'wigeonhatch-request-id', b'').decode()
@@ -169,8 +174,11 @@
             (b'x-target', self.name.encode()),
             (b'x-request-id', request_id.encode()),
         ]
-        await self._send_body(send, body, fields)
+        # The slot is free before the response ends: whoever receives the end
+        # may send the next request at once.
+        slot.close()
         self.stats.served += 1
+        await self._send_body(send, body, fields)
 
     async def _cancel_on_disconnect(
         self, receive: _asgi.Receive, tasks: typing.Any
--- a/wigeonhatch/steering/routing.py
+++ b/wigeonhatch/steering/routing.py
@@ -68,8 +68,9 @@
 
         Use one iterator for all attempts of a request, and ask for the next
         route only if the previous one did not admit it: what follows is
-        chosen in the light of that refusal, and a bucket enters spillover
-        when its region has refused.
+        chosen in the light of that refusal. When the hosts of the region
+        have refused, the request is served in another region; when none of
+        them can be reached, its bucket enters spillover.
 
         Args:
             service: Name of the service.
@@ -91,13 +92,31 @@
             service, current, current != home, bulk, reserved
         )
         region = self._best_other(service, current, home, bulk)
-        if region is not None and self._spillover.move(
-            service, bucket, home, region
-        ):
+        if region is None:
+            return
+        if region != home and self._is_present(service, current):
+            # A brief lack of slots: only this request goes elsewhere.
+            is_allowed = self._spillover.overflow(service)
+        else:
+            is_allowed = self._spillover.move(service, bucket, home, region)
+        if is_allowed:
             yield from self._routes_in(
                 service, region, region != home, bulk, reserved
             )
 
+    def on_request(self, service: str) -> None:
+        """Count a request, the measure for what may be served elsewhere.
+
+        Args:
+            service: Name of the service.
+        """
+        self._spillover.on_request(service)
+
+    def _is_present(self, service: str, region: str) -> bool:
+        """Tell whether any host can admit in a region, now or soon."""
+        pool = self._candidates.pool(service, region)
+        return pool is not None and (pool.has_local or bool(pool.members))
+
     def refusal(
         self, service: str, bucket: int, bulk: bool = False
     ) -> outcome.Failure:
--- a/wigeonhatch/steering/spillover.py
+++ b/wigeonhatch/steering/spillover.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import collections.abc
+import math
 
 from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
+from wigeonhatch.steering import buckets
 from wigeonhatch.steering import limiter
+from wigeonhatch.steering import traffic
 
 # A region must have had free slots for this long before buckets return;
 # one lookup TTL covers callers that still follow older responses.
 _RETURN_AFTER_MS = model.LOOKUP_TTL_MS
+# With fewer requests in a window, one request would count as a large part of
+# the traffic and could never be served elsewhere.
+_MIN_REQUESTS = 100
 
 
 class Spillover:
@@ -30,6 +36,8 @@
         self._limit_by_service: dict[str, limiter.ShiftLimiter] = {}
         self._region_by_bucket: dict[str, dict[int, str]] = {}
         self._roomy_since_ms: dict[tuple[str, str], int] = {}
+        self._traffic_by_service: dict[str, traffic.TrafficWindow] = {}
+        self._overflow_by_service: dict[str, float] = {}
 
     @property
     def violations(self) -> int:
@@ -40,8 +48,8 @@
     def count_by_service(self) -> dict[str, int]:
         """Buckets in spillover, for metrics."""
         return {
-            name: len(buckets)
-            for name, buckets in self._region_by_bucket.items()
+            name: len(regions)
+            for name, regions in self._region_by_bucket.items()
         }
 
     def configure(self, versioned: model.VersionedConfig) -> None:
@@ -51,6 +59,10 @@
             versioned: Configuration in force.
         """
         for name, service in versioned.config.service_by_name.items():
+            window_ms = limiter.window_ms(service.spillover_cap)
+            self._traffic_by_service.setdefault(
+                name, traffic.TrafficWindow(self._clock)
+            ).window_ms = window_ms
             known = self._limit_by_service.get(name)
             if known is None:
                 self._limit_by_service[name] = limiter.ShiftLimiter(
@@ -70,8 +82,8 @@
         Returns:
             The region; None if the bucket is not in spillover.
         """
-        buckets = self._region_by_bucket.get(service)
-        return buckets.get(bucket) if buckets else None
+        regions = self._region_by_bucket.get(service)
+        return regions.get(bucket) if regions else None
 
     def move(self, service: str, bucket: int, home: str, region: str) -> bool:
         """Move a bucket into, within or out of spillover, within the cap.
@@ -91,6 +103,41 @@
         self._place(service, bucket, home, region)
         return True
 
+    def on_request(self, service: str) -> None:
+        """Count a request of a service, the measure for `overflow`.
+
+        Args:
+            service: Name of the service.
+        """
+        window = self._traffic_by_service.get(service)
+        if window is not None:
+            window.add()
+
+    def overflow(self, service: str) -> bool:
+        """Count one request that another region serves, within the cap.
+
+        The bucket stays where it is. The request counts as the part of the
+        buckets that it is of the requests in a window, so that moved buckets
+        and single requests together stay within the cap.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Whether the cap allows it.
+        """
+        limit = self._limit_by_service.get(service)
+        if limit is None:
+            return False
+        requests = self._traffic_by_service[service].count
+        weight = buckets.BUCKET_COUNT / max(_MIN_REQUESTS, requests)
+        unpaid = self._overflow_by_service.get(service, 0.0) + weight
+        whole = math.ceil(unpaid)
+        if limit.available < whole or limit.allow(whole) < whole:
+            return False
+        self._overflow_by_service[service] = unpaid - whole
+        return True
+
     def is_exhausted(self, service: str) -> bool:
         """Report whether the cap allows no further move now.
 
@@ -115,8 +162,10 @@
             has_room: Reports whether (service, region) can be reached and
                 has free slots to spare.
         """
-        for service, buckets in self._region_by_bucket.items():
-            homes = {item: get_home(service, item) for item in buckets}
+        for service, region_by_bucket in self._region_by_bucket.items():
+            homes = {
+                item: get_home(service, item) for item in region_by_bucket
+            }
             ready = {
                 home
                 for home in set(homes.values())
@@ -125,7 +174,7 @@
             }
             limit = self._limit_by_service[service]
             for bucket, home in homes.items():
-                if home == buckets[bucket]:
+                if home == region_by_bucket[bucket]:
                     # The split now assigns the bucket to the region that
                     # serves it: nothing moves, so nothing is counted.
                     self._place(service, bucket, home, home)
@@ -144,11 +193,11 @@
     def _place(
         self, service: str, bucket: int, home: str, region: str
     ) -> None:
-        buckets = self._region_by_bucket[service]
+        regions = self._region_by_bucket[service]
         if region == home:
-            buckets.pop(bucket, None)
+            regions.pop(bucket, None)
         else:
-            buckets[bucket] = region
+            regions[bucket] = region
             # A departure shows that the region had no room just now.
             self._roomy_since_ms.pop((service, home), None)
         self.generation += 1
