--- a/wigeonhatch/config/_rules.py
+++ b/wigeonhatch/config/_rules.py
@@ -15,6 +15,8 @@
 SHARE_SUM_TOLERANCE_PERCENT = 0.01
 # One bucket; shares are written with two decimals and applied in buckets.
 _SLOT_TOLERANCE_PERCENT = 0.1
+# One of the 1,000 buckets; with a smaller cap no bucket could ever move.
+MIN_CAP_PERCENT = 0.1
 _NAMED_SECTIONS = (
     'region_by_name',
     'host_by_name',
@@ -153,6 +155,23 @@
         yield ('target_by_name', name, 'address'), target.address
 
 
+def _check_caps(
+    services: dict[str, model.Service],
+) -> collections.abc.Iterator[Violation]:
+    for name, service in services.items():
+        for field, cap in (
+            ('shift_cap', service.shift_cap),
+            ('failover_cap', service.failover_cap),
+        ):
+            if cap is not None and cap.percent < MIN_CAP_PERCENT:
+                yield (
+                    ('service_by_name', name, field, 'percent'),
+                    f'{cap.percent:g} percent, which is less than one of '
+                    'the 1,000 buckets',
+                    f'at least {MIN_CAP_PERCENT}',
+                )
+
+
 def _check_shares(
     regions: dict[str, model.Region],
     services: dict[str, model.Service],
@@ -308,6 +327,7 @@
         _check_targets,
         ('region_by_name', 'service_by_name', 'target_by_name'),
     ),
+    (_check_caps, ('service_by_name',)),
     (_check_distinct, ('host_by_name', 'target_by_name')),
     (
         _check_shares,
--- a/wigeonhatch/config/model.py
+++ b/wigeonhatch/config/model.py
@@ -13,11 +13,7 @@
 _STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
 LOOKUP_TTL_MS = 5_000
 Percent = typing.Annotated[float, pydantic.Field(ge=0, le=100)]
-# One of the 1,000 buckets; with a smaller cap no bucket could ever move.
-MIN_CAP_PERCENT = 0.1
-CapPercent = typing.Annotated[
-    float, pydantic.Field(ge=MIN_CAP_PERCENT, le=100)
-]
+CapPercent = typing.Annotated[float, pydantic.Field(gt=0, le=100)]
 SlotCount = typing.Annotated[int, pydantic.Field(ge=1, le=100_000)]
 Mbit = typing.Annotated[int, pydantic.Field(ge=1, le=10_000_000)]
 IntervalMs = typing.Annotated[int, pydantic.Field(ge=1, le=86_400_000)]
@@ -65,7 +61,7 @@
     """Largest part of a service's buckets that may move in a window.
 
     Args:
-        percent: Percent of the buckets, at least `MIN_CAP_PERCENT`.
+        percent: Percent of the buckets, above 0.
         interval_ms: Length of the window in ms, without the lookup TTL.
     """
 
