Add the state machine of leases and fence the floor takeover

Cause: a standby with an old host list could take over the floor slots of a host that runs again.

Change: a host that cannot reach its standby writes its lease row before it uses its floor slots, and the standby's extension to the floor checks that row; lists from before a sign of life do not count.

Ruled out: trusting the host list alone, which is stale at times.

--- a/tests/budget/fleet.py
+++ b/tests/budget/fleet.py
@@ -21,20 +21,21 @@
 
     def __init__(self, fleet: Fleet, name: str, incarnation: int) -> None:
         self.name = name
+        self.fleet = fleet
         self.incarnation = incarnation
         self.is_paused = False
         self.version = 0
         self.wait_ms = 0
         self.platform = fleet.platform.client()
-        self.departures = departures.Departures()
-        self.table = slots.SlotTable(name, fleet.clock, fleet.confirmed)
+        self.departures = departures.Departures(fleet.clock)
+        self.table = slots.SlotTable(name, fleet.clock, self.confirmed)
         self.grantor = grantor.LeaseGrantor(
             name,
             fleet.clock,
             self.platform,
             self.table,
-            fleet.confirmed,
-            self.departures.has_left,
+            self.confirmed,
+            self.departures,
         )
 
         async def renew(standby: str, release: bool):
@@ -53,9 +54,20 @@
             self.platform,
             self.table,
             renew,
-            self.departures.has_left,
+            self.departures,
         )
 
+    def confirmed(self, name: str) -> int | None:
+        if self.departures.has_left(name):
+            return slots.HAS_LEFT
+        versions = [
+            host.version
+            for host in self.fleet.host_by_name.values()
+            if name in host.grantor.acting_for
+        ]
+        known = self.fleet.record_by_host.get(name)
+        return None if known is None else min([known, *versions])
+
     def configure(self, versioned, owners) -> None:
         self.version = versioned.version
         for part in (self.table, self.holder, self.grantor):
@@ -78,6 +90,7 @@
         self.cut: set[frozenset[str]] = set()
         self.record_by_host: dict[str, int] = {}
         self.incarnations = 0
+        self.on_tick = lambda: None
         for name in domains:
             self.start(name)
 
@@ -96,9 +109,6 @@
     def crash(self, name: str) -> None:
         self.gone.append(self.host_by_name.pop(name))
 
-    def confirmed(self, name: str) -> int | None:
-        return self.record_by_host.get(name)
-
     def is_connected(self, one: str, other: str) -> bool:
         peer = self.host_by_name.get(other)
         return (
@@ -123,6 +133,7 @@
                         host.wait_ms = lease.RENEW_MS
                         tasks.start_soon(host.holder.step)
                     tasks.start_soon(host.grantor.step)
+            self.on_tick()
 
     def allowed(self, target: str) -> dict[str, int]:
         """Slots of a target that each running host may use now."""
--- /dev/null
+++ b/tests/budget/test_machine.py
@@ -0,0 +1,201 @@
+"""State machine of hosts, leases, pauses, partitions and replacements."""
+
+from __future__ import annotations
+
+import os
+
+import anyio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.budget import build
+from tests.budget import fleet as fleet_module
+from wigeonhatch.budget import _rows
+from wigeonhatch.budget import slots
+from wigeonhatch.config import model
+from wigeonhatch.platform import interface
+
+HOSTS = ('a', 'b', 'c', 'd')
+SLOTS = 4
+DOMAINS = dict.fromkeys(HOSTS[:3], 'north1') | {'d': 'north2'}
+# Sets of hosts and floors that operators switch between.
+VARIANTS = (
+    (HOSTS, 50.0),
+    (('a', 'b'), 50.0),
+    (('b', 'c', 'd'), 25.0),
+    (HOSTS, 75.0),
+    (('a', 'd'), 50.0),
+)
+host_names = strategies.sampled_from(HOSTS)
+EXAMPLES = int(os.environ.get('MACHINE_EXAMPLES', '60'))
+
+
+class SlotMachine(stateful.RuleBasedStateMachine):
+    """Any order of faults, and the sum of the allowances after each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = fleet_module.Fleet(DOMAINS, targets=5)
+        self.fleet.on_tick = self.check
+        self.grants: list[tuple[str, int, slots.SlotGrant]] = []
+        self.write_head(1)
+
+    def write_head(self, version: int) -> None:
+        value = f'{{"version": {version}}}'.encode()
+        writes = [interface.Write(_rows.HEAD_KEY, value)]
+        anyio.run(self.fleet.platform.commit, [], writes)
+
+    @stateful.rule(ticks=strategies.integers(1, 45))
+    def wait(self, ticks: int) -> None:
+        self.fleet.run(ticks * fleet_module.TICK_MS)
+
+    @stateful.rule(name=host_names)
+    def crash_or_replace(self, name: str) -> None:
+        if name in self.fleet.host_by_name:
+            self.fleet.crash(name)
+        else:
+            self.fleet.start(name)
+            self.list_hosts(1)
+
+    @stateful.rule(name=host_names)
+    def pause_or_resume(self, name: str) -> None:
+        host = self.fleet.host_by_name.get(name)
+        if host is not None:
+            host.is_paused = not host.is_paused
+
+    @stateful.rule(one=host_names, other=host_names)
+    def cut_or_heal(self, one: str, other: str) -> None:
+        self.fleet.cut ^= {frozenset((one, other))}
+
+    @stateful.rule(
+        name=host_names,
+        fault=strategies.sampled_from(
+            ('down', 'lost_responses', 'dropped_writes', 'stale_reads')
+        ),
+    )
+    def fail_platform(self, name: str, fault: str) -> None:
+        host = self.fleet.host_by_name.get(name)
+        if host is not None:
+            value = int(not getattr(host.platform.faults, fault))
+            setattr(host.platform.faults, fault, value)
+
+    @stateful.rule(variant=strategies.sampled_from(VARIANTS))
+    def apply(self, variant) -> None:
+        names, floor = variant
+        version = self.fleet.current[0].version + 1
+        self.fleet.current = build.build_config(
+            {name: DOMAINS[name] for name in names},
+            self.fleet.targets,
+            SLOTS,
+            version,
+            tuning=model.Tuning(floor_percent=floor),
+        )
+        self.write_head(version)
+
+    @stateful.rule(name=host_names)
+    def deliver(self, name: str) -> None:
+        host = self.fleet.host_by_name.get(name)
+        if host is not None and not host.is_paused:
+            host.configure(*self.fleet.current)
+            self.fleet.record_by_host[name] = host.version
+
+    @stateful.rule(count=strategies.integers(1, 3))
+    def list_hosts(self, count: int) -> None:
+        names = dict.fromkeys(
+            self.fleet.host_by_name, interface.HostState.LIVE
+        )
+        for _ in range(count):
+            hosts = self.fleet.platform.set_hosts(names)
+            for host in self.fleet.host_by_name.values():
+                if not host.platform.faults.down and not host.is_paused:
+                    host.departures.on_host_list(hosts)
+
+    @stateful.rule(name=host_names)
+    def stop(self, name: str) -> None:
+        host = self.fleet.host_by_name.get(name)
+        if host is None or host.is_paused:
+            return
+
+        async def run() -> None:
+            await host.holder.hand_over(100)
+            await host.grantor.stop(100)
+
+        anyio.run(run)
+        self.fleet.crash(name)
+
+    @stateful.rule(name=host_names, index=strategies.integers(0, 4))
+    def admit(self, name: str, index: int) -> None:
+        host = self.fleet.host_by_name.get(name)
+        if host is None or host.is_paused:
+            return
+        target = f't{index}'
+        grant = self.fleet.admit(name, target)
+        if grant is not None:
+            assert host.table.in_progress_on(target) <= host.table.allowance(
+                target
+            )
+            self.grants.append((name, host.incarnation, grant))
+
+    @stateful.rule(data=strategies.data())
+    def finish(self, data: strategies.DataObject) -> None:
+        if self.grants:
+            place = data.draw(strategies.integers(0, len(self.grants) - 1))
+            name, incarnation, grant = self.grants.pop(place)
+            host = self.fleet.host_by_name.get(name)
+            if host is not None and host.incarnation == incarnation:
+                grant.release(slots.AttemptResult.SERVED, 1)
+
+    @stateful.invariant()
+    def check(self) -> None:
+        for target in self.fleet.targets:
+            allowed = self.fleet.allowed(target)
+            assert sum(allowed.values()) <= SLOTS, (target, allowed)
+        for host in self.fleet.host_by_name.values():
+            assert host.table.violations == 0
+
+
+class RecoveryMachine(SlotMachine):
+    """The same faults; once they end, every slot is in use again."""
+
+    def teardown(self) -> None:
+        fleet = self.fleet
+        fleet.cut.clear()
+        for name in HOSTS:
+            if name not in fleet.host_by_name:
+                fleet.start(name)
+        for name, host in fleet.host_by_name.items():
+            host.is_paused = False
+            host.platform.faults = type(host.platform.faults)()
+            host.configure(*fleet.current)
+            fleet.record_by_host[name] = host.version
+        for name, incarnation, grant in self.grants:
+            if fleet.host_by_name[name].incarnation == incarnation:
+                grant.release(slots.AttemptResult.SERVED, 1)
+        self.list_hosts(1)
+        fleet.run(20_000)
+        for target in fleet.targets:
+            allowed = fleet.allowed(target)
+            assert allowed[fleet.owners.owner_by_target[target]] == SLOTS, (
+                target,
+                allowed,
+            )
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_sum_of_allowances_never_exceeds_the_slots() -> None:
+    """Guards against any order of faults that overloads a target."""
+    stateful.run_state_machine_as_test(SlotMachine, settings=SETTINGS)
+
+
+def test_all_slots_return_after_the_faults() -> None:
+    """Guards against a fault that leaves slots unused for ever."""
+    stateful.run_state_machine_as_test(RecoveryMachine, settings=SETTINGS)
--- a/wigeonhatch/budget/grantor.py
+++ b/wigeonhatch/budget/grantor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import enum
 import logging
@@ -11,6 +10,7 @@
 
 from wigeonhatch import clock as clock_module
 from wigeonhatch.budget import _rows
+from wigeonhatch.budget import departures
 from wigeonhatch.budget import lease
 from wigeonhatch.budget import slots
 from wigeonhatch.config import model
@@ -62,6 +62,7 @@
     released_incarnation: int | None = None
     is_released: bool = False
     is_cleaned: bool = False
+    has_granted: bool = False
     include_floor: bool = False
     version: int = interface.ABSENT
     attempt: _Attempt | None = None
@@ -78,7 +79,7 @@
         platform: Platform for the takeover rows.
         table: Slots of this host.
         confirmed: As for `SlotTable`.
-        has_left: Tells whether a host has left the platform's list.
+        gone: Hosts that have left the platform's list.
     """
 
     def __init__(
@@ -88,14 +89,14 @@
         platform: interface.Platform,
         table: slots.SlotTable,
         confirmed: slots.Confirmed,
-        has_left: collections.abc.Callable[[str], bool],
+        gone: departures.Departures,
     ) -> None:
         self._host = host
         self._clock = clock
         self._platform = platform
         self._table = table
         self._confirmed = confirmed
-        self._has_left = has_left
+        self._gone = gone
         self._ownership: ownership_module.Ownership | None = None
         self._client_by_host: dict[str, _Client] = {}
         self._version = 0
@@ -178,6 +179,8 @@
         ):
             return _DENIED
         now_ms = self._clock.now_ms
+        if not release:
+            self._gone.on_alive(host)
         if client.phase is not _Phase.GRANTING:
             if release:
                 client.released_incarnation = incarnation
@@ -208,6 +211,7 @@
             client.next_try_ms = 0
             return lease.LeaseDecision(lease.LeaseStatus.GRANTED, 0)
         client.until_ms = now_ms + WAIT_MS
+        client.has_granted = True
         return lease.LeaseDecision(lease.LeaseStatus.GRANTED, _rows.LEASE_MS)
 
     async def run(self) -> None:
@@ -297,14 +301,14 @@
                 return True
         elif confirmed >= client.since_version:
             return True
-        if self._has_left(client.host):
+        if self._gone.has_left(client.host):
             return True
         previous = client.previous_standby
         if previous is None:
             return False
         return (
             self._confirmed(previous) or 0
-        ) >= client.since_version or self._has_left(previous)
+        ) >= client.since_version or self._gone.has_left(previous)
 
     async def _step_granting(self, client: _Client) -> None:
         self._check_confirmed(client)
@@ -324,7 +328,11 @@
         takeover = _rows.decode(takeover_row, _rows.TakeoverRow)
         is_own = takeover is not None and takeover.holder == self._host
         if takeover_row is not None and not is_own:
-            if takeover is None or not self._has_left(takeover.holder):
+            if takeover is None:
+                return
+            age_ms = found.platform_ms - takeover_row.committed_ms
+            self._gone.on_alive(takeover.holder, age_ms)
+            if not self._gone.has_left(takeover.holder):
                 return
         if self._may_hold_lease(client, found):
             return
@@ -337,8 +345,8 @@
         # The host may have renewed its lease during the read.
         if client.phase is not _Phase.GRANTING or not self._is_silent(client):
             return
-        include_floor = client.is_released or self._has_left(client.host)
-        if is_own and takeover is not None:
+        include_floor = client.is_released or self._gone.has_left(client.host)
+        if is_own and takeover is not None and not client.has_granted:
             # Taken over by an earlier incarnation of this host.
             include_floor = include_floor or takeover.include_floor
         client.phase = _Phase.TAKING
@@ -361,6 +369,7 @@
     ) -> bool:
         """Tell whether a lease from the table may be in use."""
         lease_row = found.row_by_key.get(_rows.lease_key(client.host))
+        self._note_sign_of_life(client, lease_row, found.platform_ms)
         if not _rows.is_valid(lease_row, found.platform_ms):
             return False
         row = _rows.decode(lease_row, _rows.LeaseRow)
@@ -372,6 +381,16 @@
             client.until_ms = self._clock.now_ms + WAIT_MS
         return True
 
+    def _note_sign_of_life(
+        self,
+        client: _Client,
+        lease_row: interface.Row | None,
+        platform_ms: int,
+    ) -> None:
+        if lease_row is not None and not client.is_released:
+            age_ms = platform_ms - lease_row.committed_ms
+            self._gone.on_alive(client.host, age_ms)
+
     async def _delete_old_row(self, client: _Client) -> None:
         """Delete the takeover of an earlier incarnation of this host.
 
@@ -449,7 +468,7 @@
         if client.phase is not _Phase.TAKING:
             # An extension to the floor slots; the takeover itself stands
             # until the next validation.
-            client.validated_ms = 0
+            client.validated_ms = -VALIDATE_MS
             return
         self._grant_again(client)
 
@@ -470,9 +489,9 @@
         is_acting = self._table.is_acting_for(client.host)
         if is_acting and now_ms - client.validated_ms < VALIDATE_MS:
             if not client.include_floor and (
-                client.is_released or self._has_left(client.host)
+                client.is_released or self._gone.has_left(client.host)
             ):
-                self._extend(client)
+                await self._extend(client)
             return
         if not self._is_due(client):
             return
@@ -493,10 +512,29 @@
             # left, or an extension took effect after all.
             self._start_return(client)
 
-    def _extend(self, client: _Client) -> None:
-        key = _rows.takeover_key(client.host)
+    async def _extend(self, client: _Client) -> None:
+        """Take over the floor slots as well."""
+        if not self._is_due(client):
+            return
+        lease_key = _rows.lease_key(client.host)
+        found = await _rows.read(self._platform, [lease_key])
+        if isinstance(found, interface.Unavailable):
+            return
+        lease_row = found.row_by_key.get(lease_key)
+        self._note_sign_of_life(client, lease_row, found.platform_ms)
+        if client.phase is not _Phase.TAKEN or not (
+            client.is_released or self._gone.has_left(client.host)
+        ):
+            return
+        # A host that runs again writes its lease row before it uses its
+        # floor slots, so that one of the two writes fails.
         client.attempt = _Attempt(
-            [interface.Check(key, client.version)],
+            [
+                interface.Check(
+                    _rows.takeover_key(client.host), client.version
+                ),
+                interface.Check(lease_key, _rows.version_of(lease_row)),
+            ],
             _rows.TakeoverRow(self._host, True, _rows.draw_change_id()),
         )
         client.next_try_ms = 0
--- a/wigeonhatch/budget/lease.py
+++ b/wigeonhatch/budget/lease.py
@@ -12,6 +12,7 @@
 
 from wigeonhatch import clock as clock_module
 from wigeonhatch.budget import _rows
+from wigeonhatch.budget import departures
 from wigeonhatch.budget import slots
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
@@ -69,7 +70,7 @@
         table: Slots that the lease allows.
         renew: Sends `RenewLease` to a standby (host, release); None if it
             did not respond.
-        has_left: Tells whether a host has left the platform's list.
+        gone: Hosts that have left the platform's list.
     """
 
     def __init__(
@@ -80,7 +81,7 @@
         platform: interface.Platform,
         table: slots.SlotTable,
         renew: Renew,
-        has_left: collections.abc.Callable[[str], bool],
+        gone: departures.Departures,
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -88,13 +89,14 @@
         self._platform = platform
         self._table = table
         self._renew = renew
-        self._has_left = has_left
+        self._gone = gone
         self._is_configured = False
         self._standby: str | None = None
         self._verified_standby: str | None = None
         self._until_ms = 0
         self._lease_version = interface.ABSENT
         self._takeover_version = interface.ABSENT
+        self._may_clear = False
         self._is_stopping = False
 
     @property
@@ -138,8 +140,9 @@
             return
         standby = self._standby
         if standby is None:
-            self._hold_until(None)
-            self._table.resume()
+            if await self._verify(''):
+                self._hold_until(None)
+                self._table.resume()
             return
         sent_ms = self._clock.now_ms
         reply = await self._ask(standby, False)
@@ -242,12 +245,17 @@
         return True
 
     async def _renew_in_table(self) -> None:
+        """Write `lease/HOST`, on condition that no takeover exists.
+
+        If one exists, the row is written without a lease: the write proves
+        to the standby that this host runs, before it uses its floor slots.
+        """
         lease_key = _rows.lease_key(self._host)
         takeover_key = _rows.takeover_key(self._host)
         for _ in range(2):
             row = _rows.LeaseRow(self._incarnation, _rows.draw_change_id())
             writes = [interface.Write(lease_key, msgspec.json.encode(row))]
-            if self._takeover_version != interface.ABSENT:
+            if self._may_clear:
                 writes.append(interface.Write(takeover_key, None))
             checks = [
                 interface.Check(lease_key, self._lease_version),
@@ -259,8 +267,15 @@
                 return
             if isinstance(result, interface.Committed):
                 self._lease_version = result.version_by_key[lease_key]
+                if (
+                    self._may_clear
+                    or self._takeover_version == interface.ABSENT
+                ):
+                    self._hold_until(sent_ms + LEASE_MS)
+                else:
+                    self._hold_until(0)
                 self._takeover_version = interface.ABSENT
-                self._hold_until(sent_ms + LEASE_MS)
+                self._may_clear = False
                 self._table.resume()
                 return
             if not isinstance(result, interface.Conflict):
@@ -272,17 +287,8 @@
         lease_row = conflict.row_by_key.get(_rows.lease_key(self._host))
         takeover_row = conflict.row_by_key.get(_rows.takeover_key(self._host))
         self._lease_version = _rows.version_of(lease_row)
-        self._takeover_version = interface.ABSENT
-        if takeover_row is not None:
-            takeover = _rows.decode(takeover_row, _rows.TakeoverRow)
-            if takeover is not None and self._has_left(takeover.holder):
-                self._takeover_version = takeover_row.version
-                return True
-            self._verified_standby = None
-            self._on_not_held(
-                takeover is not None and not takeover.include_floor
-            )
-            return False
+        self._takeover_version = _rows.version_of(takeover_row)
+        self._may_clear = False
         lease = _rows.decode(lease_row, _rows.LeaseRow)
         if (
             lease is None or lease.incarnation != self._incarnation
@@ -290,4 +296,18 @@
             # Another process runs under the name of this host.
             self._on_not_held(may_use_floor=False)
             return False
-        return True
+        if takeover_row is None:
+            return True
+        takeover = _rows.decode(takeover_row, _rows.TakeoverRow)
+        if takeover is not None:
+            age_ms = conflict.platform_ms - takeover_row.committed_ms
+            self._gone.on_alive(takeover.holder, age_ms)
+            if self._gone.has_left(takeover.holder):
+                self._may_clear = True
+                return True
+        self._verified_standby = None
+        if takeover is None or takeover.include_floor:
+            self._on_not_held(may_use_floor=False)
+            return False
+        self._hold_until(0)
+        return self._table.is_suspended
