--- a/wigeonhatch/entry/upkeep.py
+++ b/wigeonhatch/entry/upkeep.py
@@ -4,6 +4,8 @@
 
 from wigeonhatch.entry import control as controls
 from wigeonhatch.entry import serving as servings
+from wigeonhatch.metrics import collector
+from wigeonhatch.metrics import drain_timer
 
 INTERVAL_MS = 100
 
@@ -14,15 +16,22 @@
     Args:
         control: Control plane.
         serving: Data plane.
+        metrics: Receives the durations of drains.
     """
 
     def __init__(
-        self, control: controls.Control, serving: servings.Serving
+        self,
+        control: controls.Control,
+        serving: servings.Serving,
+        metrics: collector.Metrics,
     ) -> None:
         self._control = control
         self._serving = serving
         self._drained: frozenset[str] = frozenset()
         self._acting_for: frozenset[str] = frozenset()
+        self._drain_timer = drain_timer.DrainTimer(
+            control.clock, metrics.on_drained
+        )
         control.membership.subscribe(self._on_membership)
 
     async def run(self) -> None:
@@ -38,6 +47,7 @@
         self._serving.router.advance()
         control.membership.set_loads(control.slots.loads())
         self._on_membership()
+        self._drain_timer.step(self._drained, control.slots.in_progress_on)
         acting_for = control.grantor.acting_for
         control.membership.set_acting_for(acting_for)
         current = control.current
