--- a/wigeonhatch/standins/caller.py
+++ b/wigeonhatch/standins/caller.py
@@ -41,6 +41,7 @@
     ttl_ms: int
     version: int = 0
     keys: list[str] = dataclasses.field(default_factory=list)
+    bucket: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +82,8 @@
     p99_ms: float = 0.0
     p999_ms: float = 0.0
     keys_served: list[str] = dataclasses.field(default_factory=list)
+    served_by_second: dict[int, int] = dataclasses.field(default_factory=dict)
+    failed_by_second: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
 class _Connections:
@@ -135,32 +138,53 @@
         self._random = random.Random(seed)
         self._one_way_ms = one_way_ms
         self._clock = clocks.Clock()
+        self._started_ms = self._clock.now_ms
         self._connections = _Connections()
         self._cached_by_service: dict[tuple[str, str], _CachedLookup] = {}
         self._latency_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
         self._codes: collections.Counter[str] = collections.Counter()
         self._targets: collections.Counter[str] = collections.Counter()
 
-    async def look_up(self, service: str, client: str) -> _CachedLookup | None:
+    async def look_up(self, plan: Plan, client: str) -> _CachedLookup | None:
         """Ask entry hosts in turn which hosts to use.
 
         Args:
-            service: Name of the service.
+            plan: Kind of the request.
             client: Address of the client.
 
         Returns:
             The response, from the cache while its TTL lasts; None if no host
             answered.
         """
-        cached = self._cached_by_service.get((service, client))
-        if cached and cached.until_ms > self._clock.now_ms and cached.keys:
-            return cached
-        path = (
-            f'{LOOKUP_PATH}?service={service}&client={client}'
-            f'&keys={_KEYS_PER_LOOKUP}'
-        )
-        addresses = list(self._addresses)
-        self._random.shuffle(addresses)
+        name = (plan.service, client)
+        cached = self._cached_by_service.get(name)
+        if cached is None or cached.until_ms <= self._clock.now_ms:
+            addresses = list(self._addresses)
+            self._random.shuffle(addresses)
+            lookup = await self._ask(addresses, plan.service, client, 0)
+            if lookup is None:
+                self.report.failed_lookups += 1
+                return None
+            until_ms = self._clock.now_ms + lookup.ttl_ms
+            cached = _CachedLookup(lookup, until_ms, [])
+            self._cached_by_service[name] = cached
+        if plan.non_idempotent and not cached.keys:
+            # Keys of the host that will be used save a hop to their issuer.
+            addresses = [host.address for host in cached.lookup.hosts]
+            issued = await self._ask(
+                addresses, plan.service, client, _KEYS_PER_LOOKUP
+            )
+            if issued is None:
+                self.report.failed_lookups += 1
+                self._cached_by_service.pop(name, None)
+                return None
+            cached.keys.extend(issued.keys)
+        return cached
+
+    async def _ask(
+        self, addresses: list[str], service: str, client: str, keys: int
+    ) -> Lookup | None:
+        path = f'{LOOKUP_PATH}?service={service}&client={client}&keys={keys}'
         for address in addresses:
             connection = self._connections.take(address)
             try:
@@ -174,16 +198,8 @@
             if response.status != 200:
                 continue
             lookup = msgspec.json.decode(response.content, type=Lookup)
-            if not lookup.hosts:
-                continue
-            cached = _CachedLookup(
-                lookup,
-                self._clock.now_ms + lookup.ttl_ms,
-                list(lookup.keys) or [''],
-            )
-            self._cached_by_service[(service, client)] = cached
-            return cached
-        self.report.failed_lookups += 1
+            if lookup.hosts:
+                return lookup
         return None
 
     async def send(
@@ -203,7 +219,7 @@
             Name of the result code.
         """
         self.report.sent += 1
-        cached = await self.look_up(plan.service, client)
+        cached = await self.look_up(plan, client)
         if cached is None:
             self._codes['LOOKUP_FAILED'] += 1
             return 'LOOKUP_FAILED'
@@ -220,12 +236,19 @@
             hosts = sorted(hosts, key=lambda item: item.host != issuer)
         for host in hosts[:3]:
             code = await self._attempt(
-                plan, host, client, request_id, key, deadline_ms
+                plan,
+                host,
+                client,
+                cached.lookup.bucket,
+                request_id,
+                key,
+                deadline_ms,
             )
             if code != 'CONNECT_FAILED':
                 break
             self._cached_by_service.pop((plan.service, client), None)
         self._codes[code] += 1
+        self._count_second(code)
         if code == 'OK':
             self.report.served += 1
             elapsed_us = (self._clock.now_ns - started_ns) // 1_000
@@ -234,6 +257,14 @@
                 self.report.keys_served.append(key)
         return code
 
+    def _count_second(self, code: str) -> None:
+        second = (self._clock.now_ms - self._started_ms) // 1_000
+        report = self.report
+        counts = report.failed_by_second
+        if code == 'OK':
+            counts = report.served_by_second
+        counts[second] = counts.get(second, 0) + 1
+
     def finish(self) -> Report:
         """Complete the report with counts and percentiles."""
         self.report.count_by_code = dict(self._codes)
@@ -252,11 +283,12 @@
         plan: Plan,
         host: LookupHost,
         client: str,
+        bucket: int,
         request_id: str,
         key: str,
         deadline_ms: int,
     ) -> str:
-        headers = _headers(plan, client, request_id, key, deadline_ms)
+        headers = _headers(plan, client, bucket, request_id, key, deadline_ms)
         headers.append((b'Host', host.address.encode()))
         connection = self._connections.take(host.address)
         await anyio.sleep(self._one_way_ms / 1_000)
@@ -312,7 +344,12 @@
 
 
 def _headers(
-    plan: Plan, client: str, request_id: str, key: str, deadline_ms: int
+    plan: Plan,
+    client: str,
+    bucket: int,
+    request_id: str,
+    key: str,
+    deadline_ms: int,
 ) -> list[tuple[bytes, bytes]]:
     fields = [
         ('Wigeonhatch-Request-Id', request_id),
@@ -320,6 +357,8 @@
         ('Wigeonhatch-Deadline-Ms', str(deadline_ms)),
         ('X-Response-Bytes', str(plan.response_bytes)),
     ]
+    if bucket >= 0:
+        fields.append(('Wigeonhatch-Bucket', str(bucket)))
     if plan.customer:
         fields.append(('Wigeonhatch-Customer', plan.customer))
     if plan.non_idempotent:
@@ -376,6 +415,46 @@
     return caller.finish()
 
 
+async def run_closed_loop(
+    caller: Caller,
+    plan: Plan,
+    workers: int,
+    seconds: float,
+    seed: int = 1,
+    clients: int = 200,
+    pause_ms: float = 20.0,
+) -> Report:
+    """Keep a fixed number of requests in progress.
+
+    Args:
+        caller: Sends the requests.
+        plan: Kind of the requests.
+        workers: Requests in progress at once.
+        seconds: Duration in s.
+        seed: Seed of the choice of clients.
+        clients: Number of distinct client blocks.
+        pause_ms: Pause of a worker after a refusal, in ms.
+
+    Returns:
+        The completed report.
+    """
+    clock = clocks.Clock()
+    end_ms = clock.now_ms + seconds * 1_000
+
+    async def work(number: int) -> None:
+        chooser = random.Random(seed * 10_000 + number)
+        while clock.now_ms < end_ms:
+            client_number = chooser.randrange(clients)
+            client = f'10.{client_number // 256}.{client_number % 256}.7'
+            if await caller.send(plan, client) != 'OK':
+                await anyio.sleep(pause_ms / 1_000)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(workers):
+            tasks.start_soon(work, number)
+    return caller.finish()
+
+
 def run(
     addresses: str,
     plans: str,
