--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -41,6 +41,8 @@
 
 CONNECTIONS = 16
 RESPONSE_BYTES = 200
+LOOKUP_GOAL = 2.0
+REQUEST_GOAL = 1.5
 _WARM_UP = 2_000
 _FIRST_PORT = 21_400
 _BODY = b'x' * RESPONSE_BYTES
@@ -74,13 +76,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Route:
+class Route:
+    """Route to one host."""
+
     host: str = 'h1'
     region: str = 'r1'
     is_local: bool = True
 
 
-class _Surroundings:
+class Surroundings:
     """Slots, routes, peers, links and configuration without own cost."""
 
     def __init__(self, target: str) -> None:
@@ -98,7 +102,7 @@
             {},
         )
         self._grant: typing.Any = outcome.Success(_Grant())
-        self._route = _Route()
+        self.route = Route()
 
     async def acquire_within(
         self, demand: dependencies.Demand, wait_ms: int
@@ -108,7 +112,7 @@
     def routes(
         self, service: str, bucket: int, bulk: bool
     ) -> typing.Iterator[dependencies.Route]:
-        yield self._route
+        yield self.route
 
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         return outcome.Failure(codes.ResultCode.REGION_UNAVAILABLE)
@@ -130,25 +134,44 @@
         return outcome.Success(None)
 
 
-def _build_application(target: str, instant: bool) -> application.Application:
-    surroundings: typing.Any = _Surroundings(target)
+def build_runner(
+    surroundings: typing.Any,
+) -> tuple[attempts.RequestRunner, forward_client.ForwardClient]:
+    """Build the request path of one host.
+
+    Args:
+        surroundings: Slots, routes, peers, links and configuration.
+    """
     clock = clocks.Clock()
     targets = target_client.TargetClient(clock)
     targets.configure(surroundings.current)
-    table = keys.KeyTable('h1', 1, clock)
-    runner: typing.Any = attempts.RequestRunner(
+    forwarder = forward_client.ForwardClient(
+        'r1', clock, surroundings, surroundings, surroundings
+    )
+    runner = attempts.RequestRunner(
         'h1',
         clock,
         surroundings,
         surroundings,
         targets,
-        table,
-        forward_client.ForwardClient(
-            'r1', clock, surroundings, surroundings, surroundings
-        ),
+        keys.KeyTable('h1', 1, clock),
+        forwarder,
     )
-    if instant:
-        runner = _InstantRunner()
+    return runner, forwarder
+
+
+def build_application(
+    surroundings: typing.Any, runner: typing.Any, limits: settings.Limits
+) -> application.Application:
+    """Build the callers' interface of one host.
+
+    Args:
+        surroundings: Slots, routes, peers, links and configuration.
+        runner: Runs the requests.
+        limits: Limits at the edges.
+    """
+    clock = clocks.Clock()
+    table = keys.KeyTable('h1', 1, clock)
     hosts = [
         {'host': f'host-{i}', 'address': f'10.0.0.{i}:80', 'region': 'r1'}
         for i in range(7)
@@ -168,7 +191,7 @@
         )
 
     return application.Application(
-        clock, settings.Limits(), surroundings, lookup, dict, runner
+        clock, limits, surroundings, lookup, dict, runner
     )
 
 
@@ -230,7 +253,7 @@
 
 async def _send_with_client(target: str, count: int) -> None:
     """Send requests with the client of the targets alone."""
-    surroundings = _Surroundings(target)
+    surroundings = Surroundings(target)
     clock = clocks.Clock()
     client = target_client.TargetClient(clock)
     client.configure(surroundings.current)
@@ -327,7 +350,7 @@
         self._process.wait()
 
     def _load(self, path: bytes, count: int) -> None:
-        _run_uvloop(_load, self.port, path, count)
+        run_uvloop(_load, self.port, path, count)
 
     def _used_us(self) -> float:
         self._process.send_signal(signal.SIGUSR1)
@@ -335,7 +358,8 @@
         return float(self._process.stdout.readline())
 
 
-def _run_uvloop(function: typing.Any, *args: typing.Any) -> None:
+def run_uvloop(function: typing.Any, *args: typing.Any) -> None:
+    """Run an asynchronous function on the event loop of the daemon."""
     anyio.run(function, *args, backend_options={'use_uvloop': True})
 
 
@@ -361,7 +385,11 @@
     if role in ('bare', 'guarded'):
         _serve(_bare, port, is_guarded=role == 'guarded')
     else:
-        app = _build_application(target, instant=role == 'caller_side')
+        surroundings = Surroundings(target)
+        runner: typing.Any = build_runner(surroundings)[0]
+        if role == 'caller_side':
+            runner = _InstantRunner()
+        app = build_application(surroundings, runner, settings.Limits())
         _serve(app, port, is_guarded=True)
 
 
@@ -383,15 +411,18 @@
         await function(target, count)
         print((_used_us() - before) / count)
 
-    _run_uvloop(measure)
+    run_uvloop(measure)
 
 
-def compare(rounds: int = 5, count: int = 6_400) -> None:
+def compare(rounds: int = 5, count: int = 6_400) -> int:
     """Measure all roles and print the medians.
 
     Args:
         rounds: Rounds of all roles.
         count: Requests per role and round.
+
+    Returns:
+        0 if both goals were met, else 1.
     """
     target = f'127.0.0.1:{_FIRST_PORT}'
     roles = ('bare', 'guarded', 'caller_side', 'entry')
@@ -420,13 +451,26 @@
         print(f'{role:>14}: {cost:6.0f} us ({spread})')
     base = median['bare'] + median['httpcore']
     rest = median['entry'] - median['caller_side'] - median['target_client']
-    print(f'lookup / bare: {median["lookup"] / median["bare"]:.2f} (goal 2)')
-    print(f'request / sum: {median["entry"] / base:.2f} (goal 1.5)')
     print(f'{"routing, slots":>14}: {rest:6.0f} us')
+    lookup_ratio = median['lookup'] / median['bare']
+    request_ratio = median['entry'] / base
+    print(f'lookup / bare: {lookup_ratio:.2f} (goal {LOOKUP_GOAL})')
+    print(f'request / sum: {request_ratio:.2f} (goal {REQUEST_GOAL})')
+    return int(lookup_ratio > LOOKUP_GOAL or request_ratio > REQUEST_GOAL)
+
+
+def main(rounds: int = 5, count: int = 6_400) -> None:
+    """Measure all roles and exit with 1 if a goal was missed.
+
+    Args:
+        rounds: Rounds of all roles.
+        count: Requests per role and round.
+    """
+    sys.exit(compare(rounds, count))
 
 
 if __name__ == '__main__':
     if len(sys.argv) > 1 and sys.argv[1] in ('serve', 'send'):
         fire.Fire({'serve': serve, 'send': send})
     else:
-        fire.Fire(compare)
+        fire.Fire(main)
