--- a/wigeonhatch/entry/control.py
+++ b/wigeonhatch/entry/control.py
@@ -107,7 +107,7 @@
         platform: Client of the platform.
         forward: Answers `Forward`.
     """
-    departures = host_departures.Departures()
+    departures = host_departures.Departures(clock)
     split_table = splits.SplitTable(clock)
 
     async def renew_lease(
@@ -147,7 +147,7 @@
 
     slots = slot_module.SlotTable(settings.host, clock, confirmed)
     grantor = lease_grantor.LeaseGrantor(
-        settings.host, clock, platform, slots, confirmed, departures.has_left
+        settings.host, clock, platform, slots, confirmed, departures
     )
     control = Control(
         settings=settings,
--- a/wigeonhatch/entry/serving.py
+++ b/wigeonhatch/entry/serving.py
@@ -216,7 +216,7 @@
         control.platform,
         control.slots,
         renew,
-        control.departures.has_left,
+        control.departures,
     )
 
 
