--- a/tests/budget/test_slots.py
+++ b/tests/budget/test_slots.py
@@ -255,6 +255,21 @@
     assert table.loads()['s'].capacity == before + len(moved)
 
 
+def test_started_host_waits_for_older_versions_in_its_domain() -> None:
+    """Guards against a previous owner that the host never learned of."""
+    clock = clock_module.ManualClock()
+    version_by_host = {'b': 1}
+    targets = {f't{index}': ('s', 'north1') for index in range(8)}
+    table = slots.SlotTable('a', clock, version_by_host.get)
+    table.configure(*build.build_config(HOSTS, targets, version=2))
+    table.resume()
+    assert fill(table) == []
+    # A host without any record has not started since this one did.
+    del version_by_host['b']
+    step(clock, 100)
+    assert fill(table)
+
+
 def test_smaller_floor_waits_for_the_standby() -> None:
     """Guards against parts of two versions that add up to too much."""
     version_by_host = {'b': 1}
--- a/wigeonhatch/budget/lease.py
+++ b/wigeonhatch/budget/lease.py
@@ -140,7 +140,7 @@
             return
         standby = self._standby
         if standby is None:
-            if await self._verify(''):
+            if await self._verify('') and not self._is_stopping:
                 self._hold_until(None)
                 self._table.resume()
             return
