--- a/wigeonhatch/budget/lease.py
+++ b/wigeonhatch/budget/lease.py
@@ -140,7 +140,7 @@
             return
         standby = self._standby
         if standby is None:
-            if await self._verify(''):
+            if await self._verify('') and not self._is_stopping:
                 self._hold_until(None)
                 self._table.resume()
             return
@@ -252,6 +252,9 @@
         """
         lease_key = _rows.lease_key(self._host)
         takeover_key = _rows.takeover_key(self._host)
+        # What an earlier round learned about a takeover may have changed.
+        self._takeover_version = interface.ABSENT
+        self._may_clear = False
         for _ in range(2):
             row = _rows.LeaseRow(self._incarnation, _rows.draw_change_id())
             writes = [interface.Write(lease_key, msgspec.json.encode(row))]
@@ -274,8 +277,6 @@
                     self._hold_until(sent_ms + LEASE_MS)
                 else:
                     self._hold_until(0)
-                self._takeover_version = interface.ABSENT
-                self._may_clear = False
                 self._table.resume()
                 return
             if not isinstance(result, interface.Conflict):
