--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import signal
 import sys
@@ -66,6 +67,9 @@
             lambda: upkeeps.count_violations(self._control, self._serving),
         )
         self._metrics.watch(daemon_view)
+        self._metrics.watch_control(
+            lambda: dataclasses.asdict(self._control.node.cost)
+        )
         service = operator_service.OperatorService(
             settings.host, self._control.platform, daemon_view, clock
         )
@@ -136,7 +140,7 @@
             serving.health.run,
             control.grantor.run,
             control.step_writer.run,
-            upkeeps.Upkeep(control, serving).run,
+            upkeeps.Upkeep(control, serving, self._metrics).run,
         ):
             tasks.start_soon(run)
         self._serving = serving
