--- a/tests/steering/examples.py
+++ b/tests/steering/examples.py
@@ -10,8 +10,11 @@
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 from wigeonhatch.standins import memory_platform
+from wigeonhatch.steering import split
 from wigeonhatch.steering import step_writer
 
+INTERVAL_MS = 10_000
+WINDOW_MS = INTERVAL_MS + model.LOOKUP_TTL_MS
 REGIONS = ('central', 'north', 'south')
 
 
@@ -28,7 +31,7 @@
         connections=50,
         share_by_region=shares
         or {'central': 30.0, 'north': 40.0, 'south': 30.0},
-        shift_cap=cap or model.Cap(percent=5.0, interval_ms=10_000),
+        shift_cap=cap or model.Cap(percent=5.0, interval_ms=INTERVAL_MS),
         failover_cap=failover_cap,
     )
     config = model.SteeringConfig(
@@ -89,6 +92,39 @@
     assert isinstance(result, interface.Committed)
 
 
+async def check_steps(
+    platform: memory_platform.MemoryPlatform, cap: int
+) -> list[tuple[interface.Row, step_writer.StepAudit]]:
+    """Check that steps were committed once, in order and a window apart."""
+    found = await platform.scan('audit-step/')
+    assert isinstance(found, interface.ReadResult)
+    rows = sorted(found.row_by_key.values(), key=lambda row: row.key)
+    audits = [
+        msgspec.json.decode(row.value, type=step_writer.StepAudit)
+        for row in rows
+    ]
+    assert [item.step for item in audits] == list(range(len(audits)))
+    assert all(item.moved <= cap for item in audits)
+    assert all(row.version == 1 for row in rows)
+    for before, after in zip(rows, rows[1:]):
+        assert after.committed_ms - before.committed_ms > WINDOW_MS
+    for stored in await read_splits(platform):
+        assert stored.step == len(audits) - 1
+    return list(zip(rows, audits))
+
+
+async def read_splits(
+    platform: memory_platform.MemoryPlatform,
+) -> list[split.StoredSplit]:
+    """Read the stored splits."""
+    found = await platform.scan(split.KEY_PREFIX)
+    assert isinstance(found, interface.ReadResult)
+    return [
+        split.decode(row.value, row.version).value
+        for row in found.row_by_key.values()
+    ]
+
+
 @dataclasses.dataclass
 class Load:
     """Load of a service at a host."""
--- a/tests/steering/test_split_machine.py
+++ b/tests/steering/test_split_machine.py
@@ -10,7 +10,6 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
-import msgspec
 
 from tests.steering import examples
 from wigeonhatch import clock as clocks
@@ -21,8 +20,7 @@
 from wigeonhatch.steering import step
 from wigeonhatch.steering import step_writer
 
-INTERVAL_MS = 10_000
-WINDOW_MS = INTERVAL_MS + model.LOOKUP_TTL_MS
+WINDOW_MS = examples.WINDOW_MS
 WEIGHTS = (1, 5, 2, 9)
 HOSTS = strategies.integers(0, len(WEIGHTS) - 1)
 
@@ -70,19 +68,11 @@
             name, client, self.clock, lambda: host.config, host.table
         )
         host.table.configure(host.config)
-        for stored in self.stored():
+        for stored in self.runner.run(examples.read_splits(self.platform)):
             host.table.offer(stored)
         host.table.set_complete()
         return host
 
-    def stored(self) -> list[split.StoredSplit]:
-        """Return the stored splits."""
-        found = self.runner.run(self.platform.scan(split.KEY_PREFIX))
-        return [
-            split.decode(row.value, row.version).value
-            for row in found.row_by_key.values()
-        ]
-
     @stateful.rule(
         weights=strategies.tuples(*[strategies.integers(0, 9)] * 3).filter(
             any
@@ -95,7 +85,7 @@
     ) -> None:
         """Let an operator change shares and cap; some hosts learn of it."""
         shares = dict(zip(examples.REGIONS, map(float, weights)))
-        cap = model.Cap(percent=percent, interval_ms=INTERVAL_MS)
+        cap = model.Cap(percent=percent, interval_ms=examples.INTERVAL_MS)
         version = self.newest.version + 1
         self.newest = examples.build_config(version, shares, cap)
         self.applied.append((self.clock.now_ms, version))
@@ -226,27 +216,6 @@
         )
         assert weighted <= cap * sum(WEIGHTS)
 
-    def check_steps(self) -> None:
-        """Check that steps were committed once, in order, with a window."""
-        found = self.runner.run(self.platform.scan('audit-step/'))
-        rows = sorted(found.row_by_key.values(), key=lambda row: row.key)
-        steps = [
-            msgspec.json.decode(row.value, type=step_writer.StepAudit)
-            for row in rows
-        ]
-        assert [item.step for item in steps] == list(range(len(steps)))
-        assert all(row.version == 1 for row in rows)
-        for row, item in zip(rows, steps):
-            assert item.config_version >= max(
-                version
-                for at_ms, version in self.applied
-                if at_ms < row.committed_ms
-            )
-        for before, after in zip(rows, rows[1:]):
-            assert after.committed_ms - before.committed_ms > WINDOW_MS
-        for stored in self.stored():
-            assert stored.step == len(steps) - 1
-
     def teardown(self) -> None:
         """End all failures and expect the operator's shares everywhere."""
         for at, host in enumerate(self.hosts):
@@ -272,7 +241,14 @@
             self.observe()
         else:
             raise AssertionError('the split did not reach the shares')
-        self.check_steps()
+        for row, audit in self.runner.run(
+            examples.check_steps(self.platform, 500)
+        ):
+            assert audit.config_version >= max(
+                version
+                for at_ms, version in self.applied
+                if at_ms < row.committed_ms
+            )
         self.runner.close()
 
 
--- a/tests/steering/test_step_writer.py
+++ b/tests/steering/test_step_writer.py
@@ -5,15 +5,12 @@
 import collections.abc
 
 import anyio
-import msgspec
 import pytest
 
 from tests.steering import examples
 from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
-from wigeonhatch.platform import interface
 from wigeonhatch.standins import memory_platform
-from wigeonhatch.steering import limiter
 from wigeonhatch.steering import ownership
 from wigeonhatch.steering import split
 from wigeonhatch.steering import step
@@ -21,7 +18,7 @@
 
 SHIFTED = {'central': 42.0, 'north': 28.0, 'south': 30.0}
 pytestmark = pytest.mark.anyio
-WINDOW_MS = limiter.window_ms(model.Cap(percent=5.0, interval_ms=10_000))
+WINDOW_MS = examples.WINDOW_MS
 
 
 class Hosts:
@@ -66,27 +63,11 @@
             self.clock.advance(500)
 
     async def check_steps(self) -> split.StoredSplit:
-        """Check the rows and audit records of all steps."""
-        found = await self.platform.scan('')
-        assert isinstance(found, interface.ReadResult)
-        stored = split.decode(found.row_by_key['split/ledger'].value, 1).value
-        audits = [
-            msgspec.json.decode(row.value, type=step_writer.StepAudit)
-            for key, row in found.row_by_key.items()
-            if key.startswith('audit-step/ledger/')
-        ]
-        assert [item.step for item in audits] == list(range(stored.step + 1))
-        assert all(item.moved <= 50 for item in audits)
-        times = [
-            row.committed_ms
-            for key, row in found.row_by_key.items()
-            if key.startswith('audit-step/')
-        ]
-        gaps = [after - before for before, after in zip(times, times[1:])]
-        assert all(gap > WINDOW_MS for gap in gaps), gaps
+        """Check all steps and count them once; return the stored split."""
+        steps = await examples.check_steps(self.platform, 50)
         committed = sum(writer.committed for writer in self.writers)
-        assert committed == len(audits)
-        return stored
+        assert committed == len(steps)
+        return (await examples.read_splits(self.platform))[0]
 
 
 @pytest.fixture
