--- a/tests/steering/test_split_machine.py
+++ b/tests/steering/test_split_machine.py
@@ -10,46 +10,26 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
-import msgspec
 
 from tests.steering import examples
 from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
-from wigeonhatch.platform import interface
 from wigeonhatch.standins import memory_platform
 from wigeonhatch.steering import limiter
 from wigeonhatch.steering import split
 from wigeonhatch.steering import step
 from wigeonhatch.steering import step_writer
 
-INTERVAL_MS = 10_000
-WINDOW_MS = INTERVAL_MS + model.LOOKUP_TTL_MS
+WINDOW_MS = examples.WINDOW_MS
 WEIGHTS = (1, 5, 2, 9)
 HOSTS = strategies.integers(0, len(WEIGHTS) - 1)
 
 
-class Client(memory_platform.MemoryPlatform):
-    """Client whose next write waits while other hosts go on."""
-
-    pause_ms = 0
-
-    async def commit(
-        self, checks: list[interface.Check], writes: list[interface.Write]
-    ) -> interface.CommitResult:
-        """Commit after the pause."""
-        if writes and self.pause_ms:
-            end_ms = self._clock.now_ms + self.pause_ms
-            self.pause_ms = 0
-            while self._clock.now_ms < end_ms:
-                await anyio.lowlevel.checkpoint()
-        return await super().commit(checks, writes)
-
-
 @dataclasses.dataclass
 class Host:
     """One incarnation of a host and the moves that it made."""
 
-    client: Client
+    client: examples.PausingPlatform
     config: model.VersionedConfig
     table: split.SplitTable
     writer: step_writer.StepWriter | None = None
@@ -81,29 +61,18 @@
 
     def start(self, at: int) -> Host:
         """Start a host with the configuration and splits of the platform."""
-        client = Client(self.clock)
-        client.__dict__.update(
-            self.platform.client().__dict__, faults=memory_platform.Faults()
-        )
+        client = examples.PausingPlatform(self.platform)
         host = Host(client, self.newest, split.SplitTable(self.clock))
         name = sorted(self.newest.config.host_by_name)[at]
         host.writer = step_writer.StepWriter(
             name, client, self.clock, lambda: host.config, host.table
         )
         host.table.configure(host.config)
-        for stored in self.stored():
+        for stored in self.runner.run(examples.read_splits(self.platform)):
             host.table.offer(stored)
         host.table.set_complete()
         return host
 
-    def stored(self) -> list[split.StoredSplit]:
-        """Return the stored splits."""
-        found = self.runner.run(self.platform.scan(split.KEY_PREFIX))
-        return [
-            split.decode(row.value, row.version).value
-            for row in found.row_by_key.values()
-        ]
-
     @stateful.rule(
         weights=strategies.tuples(*[strategies.integers(0, 9)] * 3).filter(
             any
@@ -116,7 +85,7 @@
     ) -> None:
         """Let an operator change shares and cap; some hosts learn of it."""
         shares = dict(zip(examples.REGIONS, map(float, weights)))
-        cap = model.Cap(percent=percent, interval_ms=INTERVAL_MS)
+        cap = model.Cap(percent=percent, interval_ms=examples.INTERVAL_MS)
         version = self.newest.version + 1
         self.newest = examples.build_config(version, shares, cap)
         self.applied.append((self.clock.now_ms, version))
@@ -191,7 +160,13 @@
     @stateful.rule(at=HOSTS, pause_ms=strategies.integers(1, WINDOW_MS))
     def pause(self, at: int, pause_ms: int) -> None:
         """Make a writer pause right before its next write."""
-        self.hosts[at].client.pause_ms = pause_ms
+
+        async def wait() -> None:
+            end_ms = self.clock.now_ms + pause_ms
+            while self.clock.now_ms < end_ms:
+                await anyio.lowlevel.checkpoint()
+
+        self.hosts[at].client.pause = wait
 
     @stateful.rule(at=HOSTS, is_alone=strategies.booleans())
     def isolate(self, at: int, is_alone: bool) -> None:
@@ -241,33 +216,12 @@
         )
         assert weighted <= cap * sum(WEIGHTS)
 
-    def check_steps(self) -> None:
-        """Check that steps were committed once, in order, with a window."""
-        found = self.runner.run(self.platform.scan('audit-step/'))
-        rows = sorted(found.row_by_key.values(), key=lambda row: row.key)
-        steps = [
-            msgspec.json.decode(row.value, type=step_writer.StepAudit)
-            for row in rows
-        ]
-        assert [item.step for item in steps] == list(range(len(steps)))
-        assert all(row.version == 1 for row in rows)
-        for row, item in zip(rows, steps):
-            assert item.config_version >= max(
-                version
-                for at_ms, version in self.applied
-                if at_ms < row.committed_ms
-            )
-        for before, after in zip(rows, rows[1:]):
-            assert after.committed_ms - before.committed_ms > WINDOW_MS
-        for stored in self.stored():
-            assert stored.step == len(steps) - 1
-
     def teardown(self) -> None:
         """End all failures and expect the operator's shares everywhere."""
         for at, host in enumerate(self.hosts):
             self.isolate(at, False)
             host.client.faults = memory_platform.Faults()
-            host.client.pause_ms = 0
+            host.client.pause = None
             host.config = self.newest
             host.table.configure(self.newest)
         shares = self.newest.config.service_by_name['ledger'].share_by_region
@@ -287,7 +241,14 @@
             self.observe()
         else:
             raise AssertionError('the split did not reach the shares')
-        self.check_steps()
+        for row, audit in self.runner.run(
+            examples.check_steps(self.platform, 500)
+        ):
+            assert audit.config_version >= max(
+                version
+                for at_ms, version in self.applied
+                if at_ms < row.committed_ms
+            )
         self.runner.close()
 
 
