--- a/wigeonhatch/peers/config_spread.py
+++ b/wigeonhatch/peers/config_spread.py
@@ -23,6 +23,8 @@
 _CALL_SECONDS = 1.0
 _MIN_DELAY_MS = 1
 _MAX_DELAY_MS = 5
+_PUSH_PAUSE_MS = 50
+"""Bounds the calls while many versions arrive."""
 
 
 class ConfigSpread:
@@ -71,6 +73,7 @@
                 self._before = self._store.version
                 for host in self._partners.choose(FANOUT):
                     group.start_soon(self.push, host, base_version)
+                await self._clock.sleep_ms(_PUSH_PAUSE_MS)
 
     async def push(self, host: str, base_version: int) -> None:
         """Send the configuration in force to a peer.
--- a/wigeonhatch/peers/exchange.py
+++ b/wigeonhatch/peers/exchange.py
@@ -27,6 +27,7 @@
 _CALL_SECONDS = 1.0
 _MIN_DELAY_MS = 1
 _MAX_DELAY_MS = 5
+_PUSH_PAUSE_MS = 100
 # A change is sent along with each call for this time, so that it spreads
 # without a comparison first.
 _RECENT_MS = 1_000
@@ -100,6 +101,9 @@
             self._membership.announce()
             for host in self._partners.choose(config_spread.FANOUT):
                 group.start_soon(self.exchange_with, host, True)
+            # Without a pause, many hosts that start at once make each other
+            # call hundreds of times a second.
+            await self._clock.sleep_ms(_PUSH_PAUSE_MS)
 
     async def exchange_with(self, host: str, is_push: bool = False) -> None:
         """Exchange state with one peer.
