Lend the whole reservation by default, count ended requests as free

A forwarded request that ended counts as a free slot at once. Refusals to admit a forwarded request are logged at DEBUG.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -118,6 +118,9 @@
     def on_request(self, service: str) -> None:
         pass
 
+    def on_end(self, service: str, route: typing.Any) -> None:
+        """Ignore the end of a request."""
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         return outcome.Failure(codes.ResultCode.REGION_UNAVAILABLE)
 
--- a/tests/budget/test_slots.py
+++ b/tests/budget/test_slots.py
@@ -306,7 +306,8 @@
 
 def test_hold_back_keeps_slots_for_the_customer() -> None:
     """Guards against a customer that finds every slot lent."""
-    table, _ = build_table(targets=5, reserved={'c': 50.0})
+    tuning = model.Tuning(hold_back_percent=20.0)
+    table, _ = build_table(targets=5, reserved={'c': 50.0}, tuning=tuning)
     ordinary = fill(table)
     assert len(ordinary) == 18
     assert len(fill(table, 'c')) == 2
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -156,6 +156,9 @@
     def on_request(self, service: str) -> None:
         """Count a request."""
 
+    def on_end(self, service: str, route: typing.Any) -> None:
+        """Ignore the end of a request."""
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         """Explain why there is no route."""
         return outcome.Failure(CODE.REGION_UNAVAILABLE)
--- a/wigeonhatch/budget/slots.py
+++ b/wigeonhatch/budget/slots.py
@@ -186,7 +186,10 @@
         self._ownership = ownership
         old_by_name = self._service_by_name
         self._service_by_name = {}
-        for name in versioned.config.service_by_name:
+        for name, configured in versioned.config.service_by_name.items():
+            hold_back = configured.hold_back_percent
+            if hold_back is None:
+                hold_back = versioned.config.tuning.hold_back_percent
             service = _service.ServiceSlots(
                 name,
                 {
@@ -196,7 +199,7 @@
                     )
                     if item.reserved_percent_by_service.get(name)
                 },
-                versioned.config.tuning.hold_back_percent,
+                hold_back,
             )
             old = old_by_name.get(name)
             if old is not None:
--- a/wigeonhatch/config/model.py
+++ b/wigeonhatch/config/model.py
@@ -79,6 +79,8 @@
         share_by_region: Percent of the traffic for each region; sums to 100.
         shift_cap: Cap for operators' changes of the shares.
         failover_cap: Cap for spillover; the shift cap if absent.
+        hold_back_percent: Part of an unused reservation that is not lent;
+            that of `Tuning` if absent.
     """
 
     slots: SlotCount
@@ -86,6 +88,7 @@
     share_by_region: dict[str, Share]
     shift_cap: Cap
     failover_cap: Cap | None = None
+    hold_back_percent: Share | None = None
 
     @property
     def spillover_cap(self) -> Cap:
@@ -144,7 +147,7 @@
     """
 
     floor_percent: Share = 50.0
-    hold_back_percent: Share = 20.0
+    hold_back_percent: Share = 0.0
     planned_load_percent: Share = 70.0
 
 
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -232,6 +232,7 @@
                 wait_ms,
             )
             if isinstance(result, outcome.Success):
+                self._router.on_end(request.service, route)
                 return result
             if is_waiting and last and retry.is_admission_refusal(result):
                 return last
--- a/wigeonhatch/requests/dependencies.py
+++ b/wigeonhatch/requests/dependencies.py
@@ -71,6 +71,9 @@
     def on_request(self, service: str) -> None:
         """Count a request that a caller sent to this host."""
 
+    def on_end(self, service: str, route: typing.Any) -> None:
+        """Learn that a request that a route's host had admitted has ended."""
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         """Explain why there is no route."""
 
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -17,6 +17,7 @@
 from wigeonhatch.requests import forward_client
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import model
+from wigeonhatch.requests import retry
 
 LOG = logging.getLogger(__name__)
 
@@ -96,7 +97,9 @@
         else:
             result = await self._runner.run_local(exchange, head.wait_ms)
         if isinstance(result, outcome.Failure):
-            LOG.info(
+            is_refused = retry.is_admission_refusal(result)
+            LOG.log(
+                logging.DEBUG if is_refused else logging.INFO,
                 'forwarded request %s ended with %s: %s',
                 request.request_id,
                 result.code.name,
--- a/wigeonhatch/steering/routing.py
+++ b/wigeonhatch/steering/routing.py
@@ -112,6 +112,20 @@
         """
         self._spillover.on_request(service)
 
+    def on_end(self, service: str, route: Route) -> None:
+        """Count the slot of a request that has ended as free again.
+
+        Args:
+            service: Name of the service.
+            route: Route whose host had admitted the request.
+        """
+        if route.is_local:
+            return
+        pool = self._candidates.pool(service, route.region)
+        known = pool.known_by_host.get(route.host) if pool else None
+        if known is not None and known.free < known.capacity:
+            known.free += 1
+
     def _is_present(self, service: str, region: str) -> bool:
         """Tell whether any host can admit in a region, now or soon."""
         pool = self._candidates.pool(service, region)
