--- a/wigeonhatch/steering/routing.py
+++ b/wigeonhatch/steering/routing.py
@@ -197,14 +197,13 @@
             chosen = self._choose(untried)
             if chosen.free <= 0:
                 break
-            untried = [item for item in untried if item is not chosen]
             far = chosen.host_region
-            if far != candidates.region and not self._has_room(far, bulk):
-                continue
-            chosen.free -= 1
-            yield chosen.spill_route if is_spillover else chosen.route
-            # The next route is asked for only after a refusal.
-            chosen.free = min(chosen.free, 0)
+            if far == candidates.region or self._has_room(far, bulk):
+                chosen.free -= 1
+                yield chosen.spill_route if is_spillover else chosen.route
+                # The next route is asked for only after a refusal.
+                chosen.free = min(chosen.free, 0)
+            untried = [item for item in untried if item is not chosen]
         if region != candidates.region and not reserved:
             return
         # Reports are stale, and a reservation can reclaim a used slot, so
