--- a/tests/end_to_end/_fleets.py
+++ b/tests/end_to_end/_fleets.py
@@ -84,7 +84,7 @@
     Args:
         number: Distinguishes the ports of fleets.
     """
-    base_port = 20_000 + number * _PORTS_PER_FLEET
+    base_port = 23_000 + number * _PORTS_PER_FLEET
     fleet = fleet_module.Fleet(
         small_document(base_port),
         {'reads': 15.0, 'bookings': 15.0},
--- a/tests/end_to_end/test_whole_path.py
+++ b/tests/end_to_end/test_whole_path.py
@@ -18,7 +18,7 @@
 def _fleet(
     request: pytest.FixtureRequest,
 ) -> collections.abc.Generator[fleet_module.Fleet, None, None]:
-    number = abs(hash_name(request.node.name)) % 100
+    number = abs(hash_name(request.node.name)) % 90
     with _fleets.run_fleet(number) as fleet:
         yield fleet
 
@@ -201,3 +201,22 @@
     _fleets.check_report(fleet, report)
     _fleets.check_targets(fleet)
     assert report.served > 0.95 * report.sent, report.count_by_code
+
+
+def test_drained_host_goes_quiet_without_losing_requests(
+    fleet: fleet_module.Fleet,
+) -> None:
+    """Guards against targets that idle, or callers lost, with their host."""
+
+    def drain() -> None:
+        result = fleet.command('drain', 'entry-6')
+        assert result.returncode == 0, result.stdout + result.stderr
+
+    report = _fleets.load(fleet, 9, during=drain)
+    _fleets.check_report(fleet, report)
+    _fleets.check_targets(fleet)
+    assert report.served == report.sent, report.count_by_code
+    hosts = {item['host']: item for item in fleet.status()['hosts']}
+    assert hosts['entry-6']['state'] == 'draining'
+    acting = [item for item in hosts.values() if item['acting_for']]
+    assert [item['acting_for'] for item in acting] == [['entry-6']]
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -33,6 +33,7 @@
 from wigeonhatch.requests import server as request_server
 
 _LOG = logging.getLogger(__name__)
+_WATCH_MS = 200
 
 
 class Daemon:
@@ -54,6 +55,9 @@
         self._clock = clock
         self._serving: servings.Serving | None = None
         self._is_stopping = False
+        self._hand_over_lock = anyio.Lock()
+        self._is_handed_over = False
+        self._stop_event = anyio.Event()
         self._metrics = collector.Metrics(clock)
         self._control = controls.build_control(
             settings,
@@ -89,20 +93,29 @@
         operators = http_server.build_server(
             self._operators, self._settings.operator_address
         )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._wait_for_signal)
+            await tasks.start(self._run_node)
+            tasks.start_soon(self._run_operators, operators)
+            tasks.start_soon(self._run_callers, callers, tasks)
+            tasks.start_soon(self._start_serving, tasks)
+            await self._stop_event.wait()
+            await self._stop(callers)
+            operators.should_exit = True
+            tasks.cancel_scope.cancel()
+
+    async def _wait_for_signal(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
-            async with anyio.create_task_group() as tasks:
-                await tasks.start(self._run_node)
-                tasks.start_soon(self._run_operators, operators)
-                tasks.start_soon(self._run_callers, callers, tasks)
-                tasks.start_soon(self._start_serving, tasks)
-                async for number in signals:
-                    _LOG.info('received %s', signal.Signals(number).name)
-                    break
-                await self._stop(callers)
-                operators.should_exit = True
-                tasks.cancel_scope.cancel()
+            task_status.started()
+            async for number in signals:
+                _LOG.info('received %s', signal.Signals(number).name)
+                self._stop_event.set()
 
     async def _run_node(
         self,
@@ -144,13 +157,15 @@
         ):
             tasks.start_soon(run)
         self._serving = serving
+        tasks.start_soon(self._watch_own_host)
         control.membership.set_state(records.HostState.SERVING)
         _LOG.info('serving with version %d', control.node.store.version)
 
     async def _stop(self, callers: uvicorn.Server) -> None:
         self._is_stopping = True
         if self._serving is not None:
-            await stops.stop_gracefully(
+            await self._hand_over(self._serving)
+            await stops.finish_requests(
                 self._control,
                 self._serving,
                 self._settings.limits.stop_bound_ms,
@@ -159,12 +174,34 @@
         # Lets the server close its idle connections.
         await self._clock.sleep_ms(stops.CLOSE_MS)
 
+    async def _hand_over(self, serving: servings.Serving) -> None:
+        async with self._hand_over_lock:
+            if not self._is_handed_over:
+                self._is_handed_over = True
+                await stops.hand_over(
+                    self._control,
+                    serving,
+                    self._settings.limits.stop_bound_ms,
+                )
+
+    async def _watch_own_host(self) -> None:
+        """Hand over when this host drains, stop when it was replaced."""
+        membership = self._control.membership
+        while not self._is_stopping:
+            if membership.is_superseded:
+                _LOG.error('a newer daemon runs as host %s', membership.host)
+                self._stop_event.set()
+                return
+            if self._serving and membership.host in membership.draining():
+                await self._hand_over(self._serving)
+            await self._clock.sleep_ms(_WATCH_MS)
+
     async def _on_caller(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         serving = self._serving
         if serving is None or (
-            self._is_stopping and not_ready.is_lookup(scope)
+            self._is_handed_over and not_ready.is_lookup(scope)
         ):
             await not_ready.refuse(scope, send)
             return
--- a/wigeonhatch/entry/stop.py
+++ b/wigeonhatch/entry/stop.py
@@ -17,13 +17,35 @@
 _LOG = logging.getLogger(__name__)
 
 
-async def stop_gracefully(
+async def hand_over(
     control: controls.Control, serving: servings.Serving, bound_ms: int
 ) -> bool:
-    """Hand over the targets and finish all requests in progress.
+    """Leave the lookups and hand the targets over to the standby.
 
-    The host leaves the lookups at once and goes on to serve the callers that
-    hold an earlier response, through the hosts that take over.
+    The host goes on to serve the callers that hold an earlier response,
+    through the hosts that take over. A new incarnation takes the targets
+    back.
+
+    Args:
+        control: Control plane.
+        serving: Data plane.
+        bound_ms: Longest time for requests in progress on the targets in ms.
+
+    Returns:
+        Whether the standby has taken over.
+    """
+    control.membership.set_state(records.HostState.DRAINING)
+    await control.clock.sleep_ms(_ANNOUNCE_MS)
+    await control.grantor.stop(bound_ms)
+    is_taken_over = await serving.lease_holder.hand_over(bound_ms)
+    _LOG.info('targets handed over: %s', is_taken_over)
+    return is_taken_over
+
+
+async def finish_requests(
+    control: controls.Control, serving: servings.Serving, bound_ms: int
+) -> bool:
+    """Serve until earlier lookups have expired and all requests have ended.
 
     Args:
         control: Control plane.
@@ -36,11 +58,6 @@
     """
     clock = control.clock
     started_ms = clock.now_ms
-    control.membership.set_state(records.HostState.DRAINING)
-    await clock.sleep_ms(_ANNOUNCE_MS)
-    await control.grantor.stop(bound_ms)
-    handed_over = await serving.lease_holder.hand_over(bound_ms)
-    _LOG.info('targets handed over: %s', handed_over)
     while clock.now_ms - started_ms < model.LOOKUP_TTL_MS:
         await clock.sleep_ms(_POLL_MS)
     end_ms = clock.now_ms + bound_ms
