Keep steps of the grantor from overlapping

Cause: at a planned stop both run and stop call step; with a slow platform a late response to one could act on a state that the other had changed.

Change: a step during another one returns at once. The test fails without the guard.

Ruled out: a lock, since the second step would act on what the first saw.

--- a/tests/budget/test_lease.py
+++ b/tests/budget/test_lease.py
@@ -389,6 +389,32 @@
     assert fleet.allowed(target)['a'] == 4
 
 
+def test_steps_do_not_overlap(fleet) -> None:
+    """Guards against a late response that takes over a returned host."""
+    standby = fleet.owners.standby_by_host['a']
+    fleet.crash('a')
+    fleet.run(1_500)
+    host = fleet.host_by_name[standby]
+    host.platform.faults.delay_ms = 700
+    before = host.platform.count_by_operation['commit']
+    fleet.clock.advance(1_000)
+
+    async def repeat() -> None:
+        for _ in range(6):
+            if not host.grantor.acting_for:
+                await host.grantor.step()
+            await anyio.lowlevel.checkpoint()
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(repeat)
+            tasks.start_soon(repeat)
+
+    anyio.run(run)
+    assert host.grantor.acting_for == {'a'}
+    assert host.platform.count_by_operation['commit'] == before + 1
+
+
 def test_planned_stop_waits_for_requests_in_progress(fleet) -> None:
     """Guards against a standby that adds to requests that still run."""
     target = fleet.owned('a')
--- a/wigeonhatch/budget/grantor.py
+++ b/wigeonhatch/budget/grantor.py
@@ -106,6 +106,7 @@
         self._next_scan_ms = clock.now_ms
         self._last_ms = clock.now_ms
         self._is_stopping = False
+        self._is_stepping = False
 
     @property
     def acting_for(self) -> frozenset[str]:
@@ -227,7 +228,20 @@
             await self._clock.sleep_ms(STEP_MS)
 
     async def step(self) -> None:
-        """Do what is due for each host whose standby this host is."""
+        """Do what is due for each host whose standby this host is.
+
+        A call during another one has no effect: `run` and `stop` may overlap,
+        and a late response to one must not undo the progress of the other.
+        """
+        if self._is_stepping:
+            return
+        self._is_stepping = True
+        try:
+            await self._step_all()
+        finally:
+            self._is_stepping = False
+
+    async def _step_all(self) -> None:
         now_ms = self._table.observe_clock()
         if now_ms - self._last_ms >= _rows.LEASE_MS:
             # This process was paused: renewals may wait to be answered.
