--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -34,6 +34,8 @@
 from wigeonhatch.targets import client as target_client
 
 CODE = codes.ResultCode
+LOCAL = ('h1', 'h1')
+FAR = ('h1', 'h2')
 LIMITS = settings.Limits(max_header_bytes=4_096, max_connections=8)
 
 
@@ -52,11 +54,11 @@
 
 
 class FakeSlots:
-    """Admission to targets in turn, up to a total limit."""
+    """Admission to one target, up to a limit."""
 
-    def __init__(self, targets: list[str], limit: int) -> None:
-        self.targets = targets
-        self.limit = limit
+    def __init__(self) -> None:
+        self.targets: list[str] = []
+        self.limit = 4
         self.grants: list[Grant] = []
         self.results: list[dependencies.AttemptResult] = []
         self.acquired = 0
@@ -65,9 +67,8 @@
         """Take a slot."""
         if len(self.grants) >= self.limit or not self.targets:
             return outcome.Failure(CODE.NO_CAPACITY)
-        target = self.targets[self.acquired % len(self.targets)]
         self.acquired += 1
-        self.grants.append(Grant(target, self, demand))
+        self.grants.append(Grant(self.targets[0], self, demand))
         return outcome.Success(self.grants[-1])
 
     async def acquire_within(self, demand: typing.Any, _: int) -> typing.Any:
@@ -104,7 +105,7 @@
         self.name = name
         self.region = region
         self.current: config_model.VersionedConfig | None = rig.versioned
-        self.slots = FakeSlots([], 0)
+        self.slots = FakeSlots()
         self.routed: list[str] = [name]
         self.links = FakeLinks()
         self.clock = clocks.Clock()
@@ -193,16 +194,6 @@
         self.peer_servers: dict[str, grpc_server.Server] = {}
         self.port_by_host: dict[str, int] = {}
 
-    def place(
-        self, host: str, *targets: scripted.ScriptedTarget, limit: int = 4
-    ) -> None:
-        """Give a host its targets."""
-        names = {f'{host}-t{i}': t.address for i, t in enumerate(targets)}
-        owner = self.hosts[host]
-        owner.targets.configure(scripted.build_config(names))
-        owner.slots.targets = list(names)
-        owner.slots.limit = limit
-
     async def call(
         self, host: str, method: str = 'GET', **kwargs: typing.Any
     ) -> Answer:
@@ -228,12 +219,16 @@
         answer = await self.call(host, path=path)
         return str(answer.json['keys'][0])
 
-    async def send_raw(self, host: str, data: bytes) -> bytes:
-        """Send bytes to the callers' interface, close and read all."""
+    async def send_raw(
+        self, host: str, data: bytes, ends: bool = False
+    ) -> bytes:
+        """Send bytes to the callers' interface and read to the end."""
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', self.port_by_host[host]
         )
         writer.write(data)
+        if ends:
+            writer.write_eof()
         content = await reader.read()
         writer.close()
         return content
@@ -278,16 +273,11 @@
         rig.peer_servers[name] = peer_server
 
         async def serve(
-            scope: typing.Any,
-            receive: typing.Any,
-            send: typing.Any,
-            host: Host = host,
+            scope: typing.Any, *args: typing.Any, host: Host = host
         ) -> None:
-            await host.application(scope, receive, send)
+            await host.application(scope, *args)
 
-        config = server.build_server_config(
-            typing.cast('typing.Any', serve), '127.0.0.1:1', LIMITS
-        )
+        config = server.build_server_config(serve, '127.0.0.1:1', LIMITS)
         config.port = 0
         http_server = uvicorn.Server(config)
         config.load()
@@ -311,10 +301,13 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    *scripts: scripted.Script, entry: str = 'h1', owner: str = 'h1'
+    route: tuple[str, str], *scripts: scripted.Script
 ) -> collections.abc.AsyncIterator[tuple[Rig, scripted.ScriptedTarget]]:
-    """Run the hosts and a target of `owner` that `entry` routes to."""
+    """Run the hosts and a target; the route names entry host and owner."""
+    entry, owner = route
     async with running() as rig, scripted.ScriptedTarget(*scripts) as target:
-        rig.place(owner, target)
+        config = scripted.build_config({'t1': target.address})
+        rig.hosts[owner].targets.configure(config)
+        rig.hosts[owner].slots.targets = ['t1']
         rig.hosts[entry].routed = [owner]
         yield rig, target
--- a/tests/requests/test_edge.py
+++ b/tests/requests/test_edge.py
@@ -42,7 +42,7 @@
 async def test_bad_heads_are_refused_without_a_slot() -> None:
     """Guards against a bad request that costs a slot, gets a wrong code or
     stops the daemon from serving others."""
-    async with rigs.serving(scripted.respond()) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, scripted.respond()) as (rig, target):
         for path, headers, status, name in REFUSED:
             # Raw, since a client library refuses to send some of them.
             lines = ''.join(f'{n}: {v}\r\n' for n, v in headers.items())
@@ -99,16 +99,11 @@
 async def test_short_body_is_refused() -> None:
     """Guards against a sender that closes early and learns nothing."""
     async with rigs.running() as rig:
-        reader, writer = await asyncio.open_connection(
-            '127.0.0.1', rig.port_by_host['h1']
-        )
-        writer.write(HEAD + b'Content-Length: 9\r\n\r\nhalf')
-        writer.write_eof()
-        raw = await reader.read()
+        half = HEAD + b'Content-Length: 9\r\n\r\nhalf'
+        raw = await rig.send_raw('h1', half, ends=True)
         assert b'"name":"BODY_LENGTH_MISMATCH"' in raw
         await scripted.until(lambda: rig.hosts['h1'].summaries)
         assert rig.hosts['h1'].slots.acquired == 0
-        writer.close()
 
 
 @scripted.on_loop
--- a/tests/requests/test_keys.py
+++ b/tests/requests/test_keys.py
@@ -23,9 +23,6 @@
 UNKNOWN = codes.Ran.UNKNOWN.value
 STORED = keys.StoredResponse(200, ((b'a', b'b'),), b'x' * 1_000)
 HOSTS = ('h1', 'h2.with~dots')
-SHED = scripted.respond(
-    b'', status=503, headers=b'Wigeonhatch-Ran: not run\r\n'
-)
 
 
 def code_of(result: object) -> codes.ResultCode | None:
@@ -196,7 +193,7 @@
         ('ALREADY_RAN', 'ran'),
         1,
     ),
-    'shed': (SHED, ('TARGET_SHED', NOT_RUN), b'two', 0),
+    'shed': (scripted.SHED, ('TARGET_SHED', NOT_RUN), b'two', 0),
 }
 
 
@@ -212,7 +209,7 @@
     first outcome was lost. The key is issued by h1; the entry host, the
     issuer and the owner of the target are the same or different hosts."""
     script, first, second, received = LOSSES[loss]
-    async with rigs.serving(script, owner=owner) as (rig, target):
+    async with rigs.serving(('h1', owner), script) as (rig, target):
         # The route of the issuer decides, not that of the entry host.
         rig.hosts['h2'].routed = ['h2']
         key = await rig.issue('h1')
@@ -241,7 +238,7 @@
     """Guards against two attempts at the same time, and against an outcome
     that is lost with its caller."""
     slow = scripted.respond(b'one', delay_s=0.3)
-    async with rigs.serving(slow) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, slow) as (rig, target):
         headers: dict[str, str] = {}
         for entry in ('h1', 'h2'):
             target.seen.clear()
@@ -266,7 +263,7 @@
 async def test_outcome_survives_the_entry_host() -> None:
     """Guards against an outcome that is lost with the forwarding host."""
     slow = scripted.respond(b'one', delay_s=0.3)
-    async with rigs.serving(slow) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, slow) as (rig, target):
         headers = rigs.keyed(await rig.issue('h1'))
         call = asyncio.ensure_future(rig.call('h2', 'PUT', headers=headers))
         await scripted.until(lambda: target.seen)
@@ -283,7 +280,7 @@
     """Guards against "not run" when the issuer of the key has restarted or
     cannot be reached, since an earlier attempt may have run."""
     lost = ('KEY_HOST_UNREACHABLE', UNKNOWN)
-    async with rigs.serving(scripted.respond()) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, scripted.respond()) as (rig, target):
         headers = rigs.keyed(await rig.issue('h1'))
         assert (await rig.call('h2', 'PUT', headers=headers)).status == 200
         rig.hosts['h1'].build(incarnation=2)
--- a/tests/requests/test_paths.py
+++ b/tests/requests/test_paths.py
@@ -19,21 +19,20 @@
 NOT_RUN = codes.Ran.NOT_RUN.value
 UNKNOWN = codes.Ran.UNKNOWN.value
 # Host that callers use, and host that owns the target.
-ROUTES = [('h1', 'h1'), ('h1', 'h2'), ('h2', 'h3')]
-SHED = scripted.respond(
-    b'', status=503, headers=b'Wigeonhatch-Ran: not run\r\n'
-)
+ROUTES = [rigs.LOCAL, rigs.FAR, ('h2', 'h3')]
+Route = tuple[str, str]
 
 
-@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('route', ROUTES)
 @scripted.on_loop
-async def test_response_is_complete_and_own(entry: str, owner: str) -> None:
+async def test_response_is_complete_and_own(route: Route) -> None:
     """Guards against lost, mixed or altered bytes on each kind of route."""
 
     async def echo(seen: scripted.Seen, writer: scripted.Writer) -> None:
         await scripted.respond(seen.body, headers=b'X-A: b\r\n')(seen, writer)
 
-    async with rigs.serving(echo, entry=entry, owner=owner) as (rig, target):
+    entry, owner = route
+    async with rigs.serving(route, echo) as (rig, target):
         rig.hosts[owner].slots.limit = 20
         bodies = [b'%d,' % i * (i * 997 % 19_000) for i in range(12)]
 
@@ -57,9 +56,9 @@
         assert (sent_bytes > 2 * sum(map(len, bodies))) == is_far
 
 
-@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('route', ROUTES)
 @scripted.on_loop
-async def test_large_upload_uses_little_memory(entry: str, owner: str) -> None:
+async def test_large_upload_uses_little_memory(route: Route) -> None:
     """Guards against a body that is collected before it is passed on."""
     part = b'u' * 65_536
     count = 800
@@ -68,9 +67,8 @@
         for _ in range(count):
             yield part
 
-    async with rigs.serving(
-        scripted.respond(b'up'), entry=entry, owner=owner
-    ) as (rig, target):
+    entry = route[0]
+    async with rigs.serving(route, scripted.respond(b'up')) as (rig, target):
         gc.collect()
         tracemalloc.start()
         answer = await rig.call(
@@ -95,17 +93,15 @@
 }
 
 
-@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('route', ROUTES)
 @pytest.mark.parametrize('fault', BROKEN)
 @scripted.on_loop
 async def test_broken_response_never_looks_complete(
-    entry: str, owner: str, fault: str
+    route: Route, fault: str
 ) -> None:
     """Guards against a caller that takes a part for the whole response."""
-    async with rigs.serving(BROKEN[fault], entry=entry, owner=owner) as (
-        rig,
-        target,
-    ):
+    entry, owner = route
+    async with rigs.serving(route, BROKEN[fault]) as (rig, target):
         raw = await rig.send_raw(
             entry, b'GET /svc/x HTTP/1.1\r\nHost: x\r\n\r\n'
         )
@@ -119,16 +115,12 @@
         assert not rig.hosts[owner].slots.grants
 
 
-@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('route', ROUTES)
 @scripted.on_loop
-async def test_caller_that_leaves_cancels_its_request(
-    entry: str, owner: str
-) -> None:
+async def test_caller_that_leaves_cancels_its_request(route: Route) -> None:
     """Guards against slots held for callers that have gone."""
-    async with rigs.serving(scripted.hang, entry=entry, owner=owner) as (
-        rig,
-        target,
-    ):
+    entry, owner = route
+    async with rigs.serving(route, scripted.hang) as (rig, target):
         call = asyncio.ensure_future(rig.call(entry))
         await scripted.until(lambda: target.seen)
         assert len(rig.hosts[owner].slots.grants) == 1
@@ -141,7 +133,10 @@
 @scripted.on_loop
 async def test_slow_reader_does_not_hold_a_small_response() -> None:
     """Guards against a slot that waits for the caller to read."""
-    async with rigs.serving(scripted.respond(b'x' * 60_000)) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, scripted.respond(b'x' * 60_000)) as (
+        rig,
+        target,
+    ):
         _, writer = await asyncio.open_connection(
             '127.0.0.1', rig.port_by_host['h1']
         )
@@ -153,7 +148,12 @@
 
 # Outcome of one attempt, and the refusal when no retry is possible.
 ATTEMPTS = {
-    'shed': (SHED, 'TARGET_SHED', NOT_RUN, RESULT.SHED),
+    'shed': (
+        scripted.SHED,
+        'TARGET_SHED',
+        NOT_RUN,
+        RESULT.SHED,
+    ),
     'lost': (scripted.drop, 'TARGET_LOST', UNKNOWN, RESULT.LOST),
     'garbage': (
         scripted.send_raw(b'garbage\r\n\r\n'),
@@ -170,16 +170,15 @@
 }
 
 
-@pytest.mark.parametrize('entry,owner', ROUTES)
+@pytest.mark.parametrize('route', ROUTES)
 @pytest.mark.parametrize('name', ATTEMPTS)
 @scripted.on_loop
-async def test_refusal_tells_the_truth(
-    entry: str, owner: str, name: str
-) -> None:
+async def test_refusal_tells_the_truth(route: Route, name: str) -> None:
     """Guards against "not run" for a request that a target received, and
     against a slot that is not returned with the right result."""
     script, code, ran, result = ATTEMPTS[name]
-    async with rigs.serving(script, entry=entry, owner=owner) as (rig, target):
+    entry, owner = route
+    async with rigs.serving(route, script) as (rig, target):
         headers = {'Wigeonhatch-Deadline-Ms': '400'}
         answer = await rig.call(entry, headers=headers)
         assert answer.verdict == (code, ran)
@@ -197,7 +196,7 @@
     script = scripted.respond(
         b'busy', status=503, headers=b'Wigeonhatch-Code: 201\r\n'
     )
-    async with rigs.serving(script) as (rig, target):
+    async with rigs.serving(rigs.LOCAL, script) as (rig, target):
         answer = await rig.call('h1')
         assert (answer.status, answer.content) == (503, b'busy')
         assert 'wigeonhatch-code' not in answer.headers
@@ -209,10 +208,10 @@
     """Guards against failures that a retry hides, and against retries that
     multiply an overload."""
     async with rigs.serving(
-        scripted.drop, SHED, scripted.respond(b'third')
+        rigs.LOCAL, scripted.drop, scripted.SHED, scripted.respond(b'third')
     ) as (rig, target):
         assert (await rig.call('h1')).content == b'third'
-        target.scripts = [SHED]
+        target.scripts = [scripted.SHED]
         target.seen.clear()
         for _ in range(30):
             await rig.call('h1')
@@ -223,7 +222,7 @@
 @scripted.on_loop
 async def test_full_host_is_passed_over() -> None:
     """Guards against a refusal while another route has a free slot."""
-    async with rigs.serving(scripted.respond(b'far'), owner='h2') as (
+    async with rigs.serving(rigs.FAR, scripted.respond(b'far')) as (
         rig,
         target,
     ):
@@ -240,7 +239,7 @@
 @scripted.on_loop
 async def test_lost_peer_is_unknown() -> None:
     """Guards against "not run" when the owner is lost after the head."""
-    async with rigs.serving(scripted.hang, owner='h2') as (rig, target):
+    async with rigs.serving(rigs.FAR, scripted.hang) as (rig, target):
         call = asyncio.ensure_future(rig.call('h1'))
         await scripted.until(lambda: target.seen)
         rig.hosts['h1']._channels['h2'].close()
@@ -253,10 +252,9 @@
 async def test_preempted_request_is_repeated() -> None:
     """Guards against a reclaimed slot whose request is lost, and against a
     reclaim that breaks a response off."""
-    async with rigs.serving(scripted.hang, scripted.respond(b'again')) as (
-        rig,
-        target,
-    ):
+    async with rigs.serving(
+        rigs.LOCAL, scripted.hang, scripted.respond(b'again')
+    ) as (rig, target):
         call = asyncio.ensure_future(rig.call('h1'))
         await scripted.until(lambda: target.seen)
         slots = rig.hosts['h1'].slots
@@ -276,7 +274,7 @@
         raise ConnectionError
 
     for owner in ('h1', 'h2'):
-        async with rigs.serving(scripted.respond(), owner=owner) as (
+        async with rigs.serving(('h1', owner), scripted.respond()) as (
             rig,
             target,
         ):
--- a/tests/targets/scripted.py
+++ b/tests/targets/scripted.py
@@ -62,6 +62,9 @@
     return script
 
 
+SHED = respond(b'', 503, headers=b'Wigeonhatch-Ran: not run\r\n')
+
+
 def send_raw(data: bytes, close: bool = True) -> Script:
     """Send arbitrary bytes as the response."""
 
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import socket
+import typing
 
 import anyio
 import pytest
@@ -147,10 +148,8 @@
 async def test_closed_idle_connection_is_not_used() -> None:
     """Guards against a request on a connection that the target closed."""
 
-    async def close_after(
-        seen: scripted.Seen, writer: scripted.Writer
-    ) -> None:
-        await scripted.respond(b'a')(seen, writer)
+    async def close_after(*args: typing.Any) -> None:
+        await scripted.respond(b'a')(*args)
         await anyio.sleep(0.05)
         raise scripted.Close
 
@@ -241,9 +240,9 @@
         for _ in range(400):
             yield b'a' * 65_536
 
-    async def refuse(seen: scripted.Seen, writer: scripted.Writer) -> None:
-        await scripted.respond(b'no', status=413)(seen, writer)
-        await scripted.hang(seen, writer)
+    async def refuse(*args: typing.Any) -> None:
+        await scripted.respond(b'no', status=413)(*args)
+        await scripted.hang(*args)
 
     head = target_client.RequestHead('PUT', b'/svc/x', (), 400 * 65_536)
     async with connected(refuse) as (client, target):
--- a/tests/targets/test_health.py
+++ b/tests/targets/test_health.py
@@ -11,11 +11,6 @@
 from wigeonhatch.targets import health
 
 
-def say(body: bytes) -> scripted.Script:
-    """Respond with a health report."""
-    return scripted.respond(body)
-
-
 @scripted.on_loop
 async def test_probes_are_independent_and_checked() -> None:
     """Guards against a silent target that delays the probes of others, and
@@ -26,10 +21,10 @@
     async with (
         scripted.ScriptedTarget(scripted.hang) as silent,
         scripted.ScriptedTarget(
-            say(b'{"state": "ok", "in_use": -1, "slots": 3}'),
-            say(b'x' * 5_000),
+            scripted.respond(b'{"state": "ok", "in_use": -1, "slots": 3}'),
+            scripted.respond(b'x' * 5_000),
             scripted.respond(b'', status=500),
-            say(good),
+            scripted.respond(good),
         ) as other,
         anyio.create_task_group() as tasks,
     ):
