--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -82,6 +82,7 @@
     host: str = 'h1'
     region: str = 'r1'
     is_local: bool = True
+    is_spillover: bool = False
 
 
 class Surroundings:
@@ -110,10 +111,16 @@
         return self._grant
 
     def routes(
-        self, service: str, bucket: int, bulk: bool
+        self, service: str, bucket: int, bulk: bool, reserved: bool
     ) -> typing.Iterator[dependencies.Route]:
         yield self.route
 
+    def on_request(self, service: str) -> None:
+        pass
+
+    def on_end(self, service: str, route: typing.Any) -> None:
+        """Ignore the end of a request."""
+
     def refusal(self, service: str, bucket: int) -> outcome.Failure:
         return outcome.Failure(codes.ResultCode.REGION_UNAVAILABLE)
 
--- a/wigeonhatch/blocks/block_map.py
+++ b/wigeonhatch/blocks/block_map.py
@@ -15,6 +15,7 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.blocks import _flat_table
 from wigeonhatch.blocks import _prefix
 from wigeonhatch.blocks import _prefix_table
 from wigeonhatch.steering import buckets
@@ -22,10 +23,15 @@
 _Item = typing.TypeVar('_Item')
 _MAGIC = b'WHBM0001'
 _DIGEST_BYTES = 16
-_SEGMENT_PREFIXES = 16_384
+_DAMAGED = 'the object is no block map or its digest does not match'
+_SEGMENT_PREFIXES = 8_192
 _MAX_SITES = 65_535
-# At 5 to 10 us for a change, a slice takes about 1 ms.
-_CHANGES_PER_SLICE = 128
+_CHECKS_PER_SLICE = 128
+# Work is counted in blocks to paint; a change takes as long as about 16
+# blocks with prefixes of their own, and a slice takes about 1 ms.
+_CHANGE_WORK = 16
+_SLICE_WORK = 768
+_HASH_BYTES = 1_000_000
 _COMPRESSION = 6
 
 
@@ -63,15 +69,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Segment:
-    """Up to 16,384 prefixes of one family, compressed.
+    """About 8,192 prefixes of one family, compressed.
 
     The bytes of the keys are stored plane by plane, since the upper bytes
     of sorted keys rarely change.
     """
 
     ip_version: int
-    keys: bytes
-    sites: bytes
+    keys: memoryview
+    sites: memoryview
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +98,7 @@
         self.version = version
         self._sites: list[Site] = []
         self._number_by_site: dict[str, int] = {}
-        self._ipv4 = _prefix_table.PrefixTable(_prefix.IPV4)
+        self._ipv4 = _flat_table.FlatTable()
         self._ipv6 = _prefix_table.PrefixTable(_prefix.IPV6)
         self._find_by_size = {3: self._ipv4.find, 6: self._ipv6.find}
 
@@ -100,11 +106,6 @@
         """Count the prefixes."""
         return len(self._ipv4) + len(self._ipv6)
 
-    @property
-    def size_bytes(self) -> int:
-        """Memory of the tables in bytes."""
-        return self._ipv4.size_bytes + self._ipv6.size_bytes
-
     @property
     def sites(self) -> tuple[Site, ...]:
         """All sites."""
@@ -185,13 +186,18 @@
             yield None
         for site in diff.sites:
             self._put_site(site)
-        for changes in _slices(self._changes(diff)):
-            for table, key, number in changes:
-                if number < 0:
-                    table.remove(key)
-                else:
-                    table.assign(key, number)
-            yield None
+        work = 0
+        for table, key, number in self._changes(diff):
+            if number < 0:
+                table.remove(key)
+            else:
+                table.assign(key, number)
+            for blocks in itertools.chain([_CHANGE_WORK], table.repaint(key)):
+                work += blocks
+                if work > _SLICE_WORK:
+                    work = 0
+                    yield None
+        yield None
         self.version = diff.version
 
     def encode(self) -> bytes:
@@ -199,7 +205,7 @@
         document = _Document(
             self.version, list(self._sites), list(self._segments())
         )
-        return seal(msgspec.msgpack.encode(document))
+        return _seal(msgspec.msgpack.encode(document))
 
     def _check(
         self, diff: BlockDiff, names: set[str]
@@ -281,31 +287,16 @@
                 yield _invalid('prefixes are not in ascending order')
 
 
-def seal(content: bytes) -> bytes:
-    """Put the format's mark and a digest before a content.
-
-    Args:
-        content: Bytes to protect.
-    """
+def _seal(content: bytes) -> bytes:
     return _MAGIC + xxhash.xxh3_128_digest(content) + content
 
 
-def unseal(data: bytes) -> outcome.Success[bytes] | outcome.Failure:
-    """Check the digest of an object.
+def _content(data: bytes) -> memoryview:
+    return memoryview(data)[len(_MAGIC) + _DIGEST_BYTES :]
 
-    Args:
-        data: Result of `seal`.
 
-    Returns:
-        The content, or `CONFIG_INVALID`.
-    """
-    start = len(_MAGIC) + _DIGEST_BYTES
-    if not data.startswith(_MAGIC) or len(data) < start:
-        return _invalid('the object is no block map')
-    content = data[start:]
-    if xxhash.xxh3_128_digest(content) != data[len(_MAGIC) : start]:
-        return _invalid('the digest does not match the content')
-    return outcome.Success(content)
+def _is_sealed(data: bytes, digest: bytes) -> bool:
+    return data.startswith(_MAGIC + digest)
 
 
 def encode_diff(diff: BlockDiff) -> bytes:
@@ -314,7 +305,7 @@
     Args:
         diff: Changes.
     """
-    return seal(zlib.compress(msgspec.msgpack.encode(diff), _COMPRESSION))
+    return _seal(zlib.compress(msgspec.msgpack.encode(diff), _COMPRESSION))
 
 
 def decode_diff(
@@ -328,13 +319,11 @@
     Returns:
         The diff, or `CONFIG_INVALID`.
     """
-    content = unseal(data)
-    if isinstance(content, outcome.Failure):
-        return content
+    content = _content(data)
+    if not _is_sealed(data, xxhash.xxh3_128_digest(content)):
+        return _invalid(_DAMAGED)
     try:
-        diff = msgspec.msgpack.decode(
-            zlib.decompress(content.value), type=BlockDiff
-        )
+        diff = msgspec.msgpack.decode(zlib.decompress(content), type=BlockDiff)
     except (zlib.error, msgspec.MsgspecError) as error:
         return _invalid(str(error))
     return outcome.Success(diff)
@@ -351,12 +340,15 @@
     Returns:
         The map, or `CONFIG_INVALID`.
     """
-    content = unseal(data)
-    if isinstance(content, outcome.Failure):
-        return content
-    await anyio.lowlevel.checkpoint()
+    content = _content(data)
+    hasher = xxhash.xxh3_128()
+    for start in range(0, len(content), _HASH_BYTES):
+        hasher.update(content[start : start + _HASH_BYTES])
+        await anyio.lowlevel.checkpoint()
+    if not _is_sealed(data, hasher.digest()):
+        return _invalid(_DAMAGED)
     try:
-        document = msgspec.msgpack.decode(content.value, type=_Document)
+        document = msgspec.msgpack.decode(content, type=_Document)
     except msgspec.MsgspecError as error:
         return _invalid(str(error))
     loaded = BlockMap(document.version)
@@ -379,8 +371,8 @@
     planes = b''.join(data[at :: keys.itemsize] for at in range(keys.itemsize))
     return _Segment(
         family.version,
-        zlib.compress(planes, _COMPRESSION),
-        zlib.compress(sites.tobytes(), _COMPRESSION),
+        memoryview(zlib.compress(planes, _COMPRESSION)),
+        memoryview(zlib.compress(sites.tobytes(), _COMPRESSION)),
     )
 
 
@@ -395,7 +387,7 @@
 def _slices(
     items: collections.abc.Iterator[_Item],
 ) -> collections.abc.Iterator[list[_Item]]:
-    while part := list(itertools.islice(items, _CHANGES_PER_SLICE)):
+    while part := list(itertools.islice(items, _CHECKS_PER_SLICE)):
         yield part
 
 
--- a/wigeonhatch/peers/config_spread.py
+++ b/wigeonhatch/peers/config_spread.py
@@ -23,6 +23,8 @@
 _CALL_SECONDS = 1.0
 _MIN_DELAY_MS = 1
 _MAX_DELAY_MS = 5
+_PUSH_PAUSE_MS = 50
+"""Bounds the calls while many versions arrive."""
 
 
 class ConfigSpread:
@@ -71,6 +73,7 @@
                 self._before = self._store.version
                 for host in self._partners.choose(FANOUT):
                     group.start_soon(self.push, host, base_version)
+                await self._clock.sleep_ms(_PUSH_PAUSE_MS)
 
     async def push(self, host: str, base_version: int) -> None:
         """Send the configuration in force to a peer.
@@ -93,6 +96,10 @@
                 self._cost.calls_failed += 1
                 _LOG.debug('push to host %s failed: %s', host, error)
                 return
+            except Exception:
+                # A fault in one call must not end the daemon.
+                _LOG.exception('push to host %s failed', host)
+                return
             self._cost.bytes_received += ack.ByteSize()
             if ack.version > self._store.version:
                 await self.fetch(host)
@@ -128,6 +135,8 @@
         except peer_channels.PEER_ERRORS as error:
             self._cost.calls_failed += 1
             _LOG.debug('fetch from host %s failed: %s', host, error)
+        except Exception:
+            _LOG.exception('fetch from host %s failed', host)
         finally:
             self._is_fetching = False
 
--- a/wigeonhatch/peers/exchange.py
+++ b/wigeonhatch/peers/exchange.py
@@ -27,6 +27,7 @@
 _CALL_SECONDS = 1.0
 _MIN_DELAY_MS = 1
 _MAX_DELAY_MS = 5
+_PUSH_PAUSE_MS = 100
 # A change is sent along with each call for this time, so that it spreads
 # without a comparison first.
 _RECENT_MS = 1_000
@@ -100,6 +101,9 @@
             self._membership.announce()
             for host in self._partners.choose(config_spread.FANOUT):
                 group.start_soon(self.exchange_with, host, True)
+            # Without a pause, many hosts that start at once make each other
+            # call hundreds of times a second.
+            await self._clock.sleep_ms(_PUSH_PAUSE_MS)
 
     async def exchange_with(self, host: str, is_push: bool = False) -> None:
         """Exchange state with one peer.
@@ -122,6 +126,10 @@
             self._cost.calls_failed += 1
             _LOG.debug('exchange with host %s failed: %s', host, error)
             return
+        except Exception:
+            # A fault in one call must not end the daemon.
+            _LOG.exception('exchange with host %s failed', host)
+            return
         finally:
             self._busy_hosts.discard(host)
         if reply.config_version > self._store.version:
@@ -139,7 +147,10 @@
         sender = request.sender
         membership.on_records([sender, *request.records])
         membership.on_heartbeat(
-            sender.host, sender.incarnation, request.sender_heartbeat
+            sender.host,
+            sender.incarnation,
+            request.sender_heartbeat,
+            request.config_version,
         )
         membership.on_digests(request.digests)
         self._take(request.drains, request.leaving, request.splits)
@@ -154,6 +165,7 @@
             drains_hash=membership.drains.statements_hash,
             leaving=self._leaving_after(request.list_version),
             splits_hash=self._splits.versions_hash,
+            needs_ids=not membership.can_read(request.digests),
             splits=self._splits.encode(
                 request.wanted_splits, _MAX_SPLIT_BYTES
             ),
@@ -205,12 +217,16 @@
         if reply.drains_hash != membership.drains.statements_hash:
             drains = self._sample_drains()
         leaving = self._leaving_after(reply.list_version)
-        if not (wanted or offered or drains or leaving):
+        if not (wanted or offered or drains or leaving or reply.needs_ids):
             return None
+        digests, is_partial = peers_pb2.Digests(), True
+        if reply.needs_ids:
+            digests, is_partial = membership.make_digests(self._rng, True)
         return peers_pb2.ExchangeRequest(
             sender=membership.own_message,
             sender_heartbeat=membership.own_heartbeat,
-            is_partial=True,
+            digests=digests,
+            is_partial=is_partial,
             config_version=self._store.version,
             list_version=membership.drains.leaving.version,
             drains_hash=membership.drains.statements_hash,
@@ -238,7 +254,9 @@
         if leaving.version:
             self._membership.on_leaving(
                 peer_drains.LeavingList(
-                    leaving.version, frozenset(leaving.names)
+                    leaving.version,
+                    frozenset(leaving.names),
+                    frozenset(leaving.absent),
                 )
             )
         self._splits.offer_messages(splits)
@@ -286,5 +304,7 @@
 
 def _encode_leaving(leaving: peer_drains.LeavingList) -> peers_pb2.LeavingList:
     return peers_pb2.LeavingList(
-        version=leaving.version, names=sorted(leaving.names)
+        version=leaving.version,
+        names=sorted(leaving.names),
+        absent=sorted(leaving.absent),
     )
