--- a/wigeonhatch/entry/control.py
+++ b/wigeonhatch/entry/control.py
@@ -145,7 +145,9 @@
     def confirmed(host: str) -> int | None:
         return _confirmed_version(host, node.membership, departures)
 
-    slots = slot_module.SlotTable(settings.host, clock, confirmed)
+    slots = slot_module.SlotTable(
+        settings.host, clock, confirmed, lambda: node.membership.hosts
+    )
     grantor = lease_grantor.LeaseGrantor(
         settings.host, clock, platform, slots, confirmed, departures
     )
--- a/wigeonhatch/entry/stop.py
+++ b/wigeonhatch/entry/stop.py
@@ -14,6 +14,7 @@
 _POLL_MS = 50
 _ANNOUNCE_MS = 1_000
 """Time until all reachable hosts have learned that this one drains."""
+_RETURN_MS = 3_000
 _LOG = logging.getLogger(__name__)
 
 
@@ -36,7 +37,9 @@
     """
     control.membership.set_state(records.HostState.DRAINING)
     await control.clock.sleep_ms(_ANNOUNCE_MS)
-    await control.grantor.stop(bound_ms)
+    # Returning what this host holds for others needs the platform, which may
+    # be down.
+    await control.grantor.stop(_RETURN_MS)
     is_taken_over = await serving.lease_holder.hand_over(bound_ms)
     _LOG.info('targets handed over: %s', is_taken_over)
     return is_taken_over
