Define the head of the configuration once, make the overlap test precise

Trace: while the standby's calls take 1.4 s of simulated time, nobody runs the third host, so its lease really ends and it is taken over too. Change: the grantor goes through its clients in sorted order; the test renews the third host's lease and now counts overlapping steps themselves. RETRY_BUDGET_EMPTY, which nothing returned, is gone.

--- a/tests/budget/test_lease.py
+++ b/tests/budget/test_lease.py
@@ -10,6 +10,7 @@
 from wigeonhatch import clock as clock_module
 from wigeonhatch.budget import _rows
 from wigeonhatch.budget import lease
+from wigeonhatch.config import head as heads
 from wigeonhatch.platform import interface
 
 DOMAINS = {'a': 'north1', 'b': 'north1', 'c': 'north1'}
@@ -39,7 +40,7 @@
 
 
 def write_head(fleet) -> None:
-    writes = [interface.Write(_rows.HEAD_KEY, b'{"version": 2}')]
+    writes = [interface.Write(heads.HEAD_KEY, b'{"version": 2}')]
     anyio.run(fleet.platform.commit, [], writes)
 
 
@@ -398,9 +399,22 @@
     host.platform.faults.delay_ms = 700
     before = host.platform.count_by_operation['commit']
     fleet.clock.advance(1_000)
+    other = fleet.host_by_name[other_of(fleet, 'a', standby)]
+
+    step_granting = host.grantor._step_granting
+    running = [0]
+
+    async def count_running(client) -> None:
+        running.append(running[-1] + 1)
+        await step_granting(client)
+        running.append(running[-1] - 1)
+
+    host.grantor._step_granting = count_running
 
     async def repeat() -> None:
         for _ in range(6):
+            # Only `a` is silent; the responses take longer than a lease.
+            host.grantor.on_renew(other.name, other.incarnation, False)
             if not host.grantor.acting_for:
                 await host.grantor.step()
             await anyio.lowlevel.checkpoint()
@@ -411,6 +425,7 @@
             tasks.start_soon(repeat)
 
     anyio.run(run)
+    assert max(running) == 1
     assert host.grantor.acting_for == {'a'}
     assert host.platform.count_by_operation['commit'] == before + 1
 
--- a/tests/budget/test_machine.py
+++ b/tests/budget/test_machine.py
@@ -11,8 +11,8 @@
 
 from benchmarks import lease_fleet as fleet_module
 from benchmarks import small_config as build
-from wigeonhatch.budget import _rows
 from wigeonhatch.budget import slots
+from wigeonhatch.config import head as heads
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 
@@ -43,7 +43,7 @@
 
     def write_head(self, version: int) -> None:
         value = f'{{"version": {version}}}'.encode()
-        writes = [interface.Write(_rows.HEAD_KEY, value)]
+        writes = [interface.Write(heads.HEAD_KEY, value)]
         anyio.run(self.fleet.platform.commit, [], writes)
 
     @stateful.rule(ticks=strategies.integers(1, 45))
--- a/tests/steering/examples.py
+++ b/tests/steering/examples.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wigeonhatch.config import head as heads
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 from wigeonhatch.standins import memory_platform
@@ -87,7 +88,7 @@
     """Commit the head row of a configuration."""
     head = {'version': versioned.version, 'change_id': versioned.change_id}
     result = await platform.commit(
-        [], [interface.Write(step_writer.HEAD_KEY, msgspec.json.encode(head))]
+        [], [interface.Write(heads.HEAD_KEY, msgspec.json.encode(head))]
     )
     assert isinstance(result, interface.Committed)
 
--- a/wigeonhatch/budget/_rows.py
+++ b/wigeonhatch/budget/_rows.py
@@ -49,16 +49,6 @@
     change_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeadRow:
-    """Part of the value of `config/head` that takeovers need."""
-
-    version: int
-
-
-HEAD_KEY = 'config/head'
-
-
 def lease_key(host: str) -> str:
     """Name the row of a host's lease from the table."""
     return f'lease/{host}'
--- a/wigeonhatch/budget/grantor.py
+++ b/wigeonhatch/budget/grantor.py
@@ -13,6 +13,7 @@
 from wigeonhatch.budget import departures
 from wigeonhatch.budget import lease
 from wigeonhatch.budget import slots
+from wigeonhatch.config import head as heads
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 from wigeonhatch.steering import ownership as ownership_module
@@ -140,7 +141,7 @@
             for host, standby in ownership.standby_by_host.items()
             if standby == self._host
         }
-        for host in hosts:
+        for host in sorted(hosts):
             client = self._client_by_host.get(host)
             if client is not None and not client.is_former and is_next:
                 continue
@@ -342,7 +343,7 @@
             return
         lease_key = _rows.lease_key(client.host)
         takeover_key = _rows.takeover_key(client.host)
-        keys = [lease_key, takeover_key, _rows.HEAD_KEY]
+        keys = [lease_key, takeover_key, heads.HEAD_KEY]
         found = await _rows.read(self._platform, keys)
         if isinstance(found, interface.Unavailable):
             return
@@ -359,7 +360,7 @@
         if self._may_hold_lease(client, found):
             return
         head = _rows.decode(
-            found.row_by_key.get(_rows.HEAD_KEY), _rows.HeadRow
+            found.row_by_key.get(heads.HEAD_KEY), heads.HeadVersion
         )
         if head is not None and head.version != self._version:
             # This host may not be the standby any more.
--- a/wigeonhatch/codes.py
+++ b/wigeonhatch/codes.py
@@ -44,7 +44,6 @@
     NOT_READY = 203
     LINK_FULL = 204
     PREEMPTED = 205
-    RETRY_BUDGET_EMPTY = 206
     TARGET_SHED = 207
 
     # 300: an attempt failed on its way.
@@ -177,9 +176,6 @@
     ResultCode.PREEMPTED: _info(
         503, _MAYBE, True, 'The slot was reclaimed for a reservation.'
     ),
-    ResultCode.RETRY_BUDGET_EMPTY: _info(
-        503, _NO, True, 'The attempt failed and the retry budget is empty.'
-    ),
     ResultCode.TARGET_SHED: _info(
         503, _NO, True, 'The target refused the request without running it.'
     ),
--- a/wigeonhatch/config/head.py
+++ b/wigeonhatch/config/head.py
@@ -28,6 +28,13 @@
     digest: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadVersion:
+    """Part of the head for those who need only the version."""
+
+    version: int
+
+
 def encode_document(document: merge.Document) -> bytes:
     """Encode a document for the object store.
 
--- a/wigeonhatch/peers/platform_source.py
+++ b/wigeonhatch/peers/platform_source.py
@@ -4,7 +4,6 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 import logging
 
 import msgspec
@@ -12,15 +11,13 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.config import delta as deltas
+from wigeonhatch.config import head as heads
 from wigeonhatch.peers import cost as costs
 from wigeonhatch.peers import split_store
 from wigeonhatch.platform import interface
 from wigeonhatch.steering import split as splits
 
 _LOG = logging.getLogger(__name__)
-HEAD_KEY = 'config/head'
-OBJECT_PREFIX = 'config/'
-SPLIT_PREFIX = 'split/'
 
 DecodeSplit = collections.abc.Callable[
     [bytes, int], outcome.Success[splits.StoredSplit] | outcome.Failure
@@ -28,21 +25,6 @@
 """Decodes the value and the version of a row `split/SERVICE`."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredHead:
-    """Value of the row `config/head`.
-
-    Args:
-        version: Version of the configuration.
-        change_id: Change that made it; names the object.
-        digest: SHA-256 of the object, in hexadecimal.
-    """
-
-    version: int
-    change_id: str
-    digest: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredDocument:
     """Document of a version, as stored by the platform."""
@@ -76,21 +58,21 @@
 
     async def read_head(
         self,
-    ) -> outcome.Success[StoredHead | None] | outcome.Failure:
+    ) -> outcome.Success[heads.ConfigHead | None] | outcome.Failure:
         """Read the head, possibly a stale one.
 
         Returns:
             The head, None if there is none, or `PLATFORM_UNAVAILABLE`.
         """
         self._cost.platform_reads += 1
-        result = await self._platform.read([HEAD_KEY])
+        result = await self._platform.read([heads.HEAD_KEY])
         if isinstance(result, interface.Unavailable):
             return _unavailable(result.detail)
-        return _decode_head(result.row_by_key.get(HEAD_KEY))
+        return _decode_head(result.row_by_key.get(heads.HEAD_KEY))
 
     async def read_head_now(
         self,
-    ) -> outcome.Success[StoredHead | None] | outcome.Failure:
+    ) -> outcome.Success[heads.ConfigHead | None] | outcome.Failure:
         """Read the head and validate it by a commit without writes.
 
         Returns:
@@ -98,22 +80,22 @@
             `PLATFORM_UNAVAILABLE`.
         """
         self._cost.platform_reads += 1
-        result = await self._platform.read([HEAD_KEY])
+        result = await self._platform.read([heads.HEAD_KEY])
         if isinstance(result, interface.Unavailable):
             return _unavailable(result.detail)
-        row = result.row_by_key.get(HEAD_KEY)
+        row = result.row_by_key.get(heads.HEAD_KEY)
         version = interface.ABSENT if row is None else row.version
         validated = await self._platform.commit(
-            [interface.Check(HEAD_KEY, version)], []
+            [interface.Check(heads.HEAD_KEY, version)], []
         )
         if isinstance(validated, interface.Conflict):
-            return _decode_head(validated.row_by_key.get(HEAD_KEY))
+            return _decode_head(validated.row_by_key.get(heads.HEAD_KEY))
         if not isinstance(validated, interface.Committed):
             return _unavailable(validated.detail)
         return _decode_head(row)
 
     async def read_document(
-        self, head: StoredHead
+        self, head: heads.ConfigHead
     ) -> outcome.Success[StoredDocument] | outcome.Failure:
         """Read and verify the document of a head.
 
@@ -122,15 +104,13 @@
             content differs from the digest.
         """
         self._cost.platform_reads += 1
-        name = OBJECT_PREFIX + head.change_id
+        name = heads.OBJECT_PREFIX + head.change_id
         content = await self._platform.get_object(name)
         if content is None:
             return _unavailable(f'object {name} does not exist')
         if isinstance(content, interface.Unavailable):
             return _unavailable(content.detail)
-        if head.digest and (
-            hashlib.sha256(content).hexdigest() != head.digest
-        ):
+        if head.digest and (heads.digest(content) != head.digest):
             return outcome.Failure(
                 codes.ResultCode.CONFIG_INVALID,
                 f'object {name} differs from the digest of the head',
@@ -148,7 +128,7 @@
             False if the platform is unavailable.
         """
         self._cost.platform_reads += 1
-        result = await self._platform.scan(SPLIT_PREFIX)
+        result = await self._platform.scan(splits.KEY_PREFIX)
         if isinstance(result, interface.Unavailable):
             return False
         decoded: list[splits.StoredSplit] = []
@@ -174,12 +154,14 @@
 
 def _decode_head(
     row: interface.Row | None,
-) -> outcome.Success[StoredHead | None] | outcome.Failure:
+) -> outcome.Success[heads.ConfigHead | None] | outcome.Failure:
     if row is None:
         return outcome.Success(None)
     try:
-        return outcome.Success(msgspec.json.decode(row.value, type=StoredHead))
+        return outcome.Success(
+            msgspec.json.decode(row.value, type=heads.ConfigHead)
+        )
     except msgspec.MsgspecError as error:
         return outcome.Failure(
-            codes.ResultCode.CONFIG_INVALID, f'row {HEAD_KEY}: {error}'
+            codes.ResultCode.CONFIG_INVALID, f'row {heads.HEAD_KEY}: {error}'
         )
--- a/wigeonhatch/peers/poller.py
+++ b/wigeonhatch/peers/poller.py
@@ -8,6 +8,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import outcome
+from wigeonhatch.config import head as heads
 from wigeonhatch.peers import config_store
 from wigeonhatch.peers import drains
 from wigeonhatch.peers import membership as members
@@ -110,7 +111,7 @@
         if with_splits:
             await self._source.read_splits()
 
-    async def _load(self, head: platform_source.StoredHead) -> None:
+    async def _load(self, head: heads.ConfigHead) -> None:
         document = await self._source.read_document(head)
         if isinstance(document, outcome.Success):
             offered = self._store.offer_document(
--- a/wigeonhatch/steering/step_writer.py
+++ b/wigeonhatch/steering/step_writer.py
@@ -11,6 +11,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import outcome
+from wigeonhatch.config import head as heads
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 from wigeonhatch.steering import limiter
@@ -19,7 +20,6 @@
 from wigeonhatch.steering import step as steps
 
 _log = logging.getLogger(__name__)
-HEAD_KEY = 'config/head'
 _POLL_MS = 500
 _RANK_DELAY_MS = 200
 
@@ -57,11 +57,6 @@
     wall_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Head:
-    version: int
-
-
 @dataclasses.dataclass(slots=True)
 class _Turn:
     """When this host may attempt the step after a state of the rows."""
@@ -174,10 +169,10 @@
         service = versioned.config.service_by_name[name]
         self._wait(name, versioned, _POLL_MS)
         key = split.row_key(name)
-        found = await self._platform.read([key, HEAD_KEY])
+        found = await self._platform.read([key, heads.HEAD_KEY])
         if isinstance(found, interface.Unavailable):
             return
-        head = found.row_by_key.get(HEAD_KEY)
+        head = found.row_by_key.get(heads.HEAD_KEY)
         if head is None or _config_version(head) != versioned.version:
             # Only a host with the newest configuration may plan; the
             # propagation of the configuration resolves this.
@@ -239,7 +234,7 @@
         result = await self._platform.commit(
             [
                 interface.Check(key, base.row_version),
-                interface.Check(HEAD_KEY, head_version),
+                interface.Check(heads.HEAD_KEY, head_version),
                 interface.Check(audited, interface.ABSENT),
             ],
             [
@@ -304,7 +299,7 @@
 
 def _config_version(row: interface.Row) -> int | None:
     try:
-        return msgspec.json.decode(row.value, type=_Head).version
+        return msgspec.json.decode(row.value, type=heads.HeadVersion).version
     except msgspec.MsgspecError as error:
         _log.error('row %s: %s', row.key, error)
         return None
