--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,9 +8,13 @@
 
 MODULES = (
     'benchmarks.request_cost',
+    'benchmarks.steering',
+    'benchmarks.admission',
     'benchmarks.block_map',
     'benchmarks.spread',
+    'benchmarks.control_cost',
     'benchmarks.reservation',
+    'benchmarks.takeover',
     'benchmarks.upload',
     'benchmarks.measures',
 )
