--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -13,6 +13,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.requests import _replies
+from wigeonhatch.requests import _search
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import forward_client
@@ -24,11 +25,6 @@
 
 # Longest wait of a customer within its reservation for a slot, at each host.
 RESERVATION_WAIT_MS = 100
-# Longest wait for a slot once all hosts have refused. At 95% of the capacity
-# a slot becomes free every few ms, so a short wait replaces a refusal.
-QUEUE_WAIT_MS = 100
-MAX_REFUSALS = 8
-"""Hosts that may refuse a request before it waits for a slot."""
 
 Result = outcome.Success[None] | outcome.Failure
 # Waits for a target end at the deadline; the rest ends this much later, so
@@ -203,69 +199,44 @@
         self, exchange: Exchange, is_key_held: bool
     ) -> Result:
         request = exchange.request
-        routes = self._routes(exchange)
-        refused: set[str] = set()
-        queue: dependencies.Route | None = None
+        search = _search.RouteSearch(
+            lambda: self._router.routes(
+                request.service,
+                request.bucket,
+                exchange.body.is_bulk,
+                bool(request.customer),
+            ),
+            RESERVATION_WAIT_MS if request.customer else 0,
+        )
         last: outcome.Failure | None = None
         retries_left = retry.MAX_RETRIES
-        wait_ms = RESERVATION_WAIT_MS if request.customer else 0
-        is_waiting = False
-        while True:
-            route = _next_route(routes, refused)
-            if route is None:
-                if last is None:
-                    return self._router.refusal(
-                        request.service, request.bucket
-                    )
-                if queue is None or is_waiting:
-                    return last
-                route = queue
-                is_waiting = True
-                wait_ms = QUEUE_WAIT_MS
-            elif queue is None or (route.is_local and not route.is_spillover):
-                queue = route
+        while (route := search.next_route()) is not None:
             result = await self._attempt(
                 exchange,
                 None if route.is_local else route.host,
                 is_key_held,
                 route.region,
-                wait_ms,
+                search.wait_ms,
             )
             if isinstance(result, outcome.Success):
                 self._router.on_end(request.service, route)
                 return result
-            if is_waiting and last and retry.is_admission_refusal(result):
-                return last
-            last = result
+            is_refusal = retry.is_admission_refusal(result)
+            if last is None or not (search.is_waiting and is_refusal):
+                last = result
             if exchange.reply.is_started or not retry.may_repeat(
                 result, request.is_idempotent, exchange.body.is_available
             ):
                 return result
-            if retry.is_admission_refusal(result):
-                refused.add(route.host)
-                if len(refused) >= MAX_REFUSALS:
-                    routes = iter(())
+            if is_refusal:
+                search.on_refused(route)
                 continue
-            # The queue is for requests that found every host full.
-            queue = None
-            if not route.is_local:
-                refused.add(route.host)
             budget = self._budget_by_service[request.service]
             if retries_left == 0 or not budget.take():
                 return result
             retries_left -= 1
-            routes = self._routes(exchange)
-
-    def _routes(
-        self, exchange: Exchange
-    ) -> collections.abc.Iterator[dependencies.Route]:
-        request = exchange.request
-        return self._router.routes(
-            request.service,
-            request.bucket,
-            exchange.body.is_bulk,
-            bool(request.customer),
-        )
+            search.on_failed(route)
+        return last or self._router.refusal(request.service, request.bucket)
 
     async def _attempt(
         self,
@@ -441,13 +412,6 @@
         )
 
 
-def _next_route(
-    routes: collections.abc.Iterator[dependencies.Route],
-    refused: collections.abc.Set[str],
-) -> dependencies.Route | None:
-    return next((route for route in routes if route.host not in refused), None)
-
-
 async def _pass_on(
     response: target_client.TargetResponse,
     reply: model.Reply,
