Read the load of one service alone, check settings files in one place

Cause: the routes of each request read the load of every service to use one of them; the daemon and the commands each had a function that reads and checks a settings file; build_server had a limit that no caller set. Change: SlotTable has load(service), which loads() uses; settings.load_checked serves both kinds of settings; the parameter is gone. Behaviour stays as it is.

--- a/wigeonhatch/budget/slots.py
+++ b/wigeonhatch/budget/slots.py
@@ -472,19 +472,32 @@
         Returns:
             Load by service.
         """
+        return {
+            name: load
+            for name in self._service_by_name
+            if (load := self.load(name)) is not None
+        }
+
+    def load(self, name: str) -> LoadSummary | None:
+        """Summarize the load of one service.
+
+        Args:
+            name: Name of the service.
+
+        Returns:
+            The load; None if the service has no target here.
+        """
         now_ms = self.observe_clock()
-        summary_by_service: dict[str, LoadSummary] = {}
-        for name, service in self._service_by_name.items():
-            if not service.states:
-                continue
-            if now_ms >= service.refresh_ms:
-                self._refresh(service, now_ms)
-            summary_by_service[name] = LoadSummary(
-                max(0, service.free_for(False)),
-                sum(state.used for state in service.states),
-                service.limit,
-            )
-        return summary_by_service
+        service = self._service_by_name.get(name)
+        if service is None or not service.states:
+            return None
+        if now_ms >= service.refresh_ms:
+            self._refresh(service, now_ms)
+        return LoadSummary(
+            max(0, service.free_for(False)),
+            sum(state.used for state in service.states),
+            service.limit,
+        )
 
     def on_release(
         self, grant: SlotGrant, result: AttemptResult, latency_ms: int
--- a/wigeonhatch/cli/access.py
+++ b/wigeonhatch/cli/access.py
@@ -5,7 +5,6 @@
 import dataclasses
 import getpass
 import os
-import pathlib
 import re
 
 import pydantic
@@ -65,7 +64,7 @@
     path = settings_path or os.environ.get(SETTINGS_VARIABLE, '')
     loaded = OperatorSettings([])
     if path:
-        result = _load(path)
+        result = settings.load_checked(path, OperatorSettings)
         if isinstance(result, outcome.Failure):
             return result
         loaded = result.value
@@ -110,21 +109,3 @@
         login = ''
     cleaned = re.sub('[^0-9A-Za-z._-]', '-', login).lstrip('._-')
     return cleaned[:_MAX_NAME_LENGTH] or 'unknown'
-
-
-def _load(path: str) -> outcome.Success[OperatorSettings] | outcome.Failure:
-    try:
-        content = pathlib.Path(path).read_bytes()
-    except (OSError, ValueError) as error:
-        reason = getattr(error, 'strerror', None) or str(error)
-        return outcome.Failure(
-            codes.ResultCode.SETTINGS_INVALID, f'{path}: {reason}'
-        )
-    try:
-        loaded = pydantic.TypeAdapter(OperatorSettings).validate_json(content)
-    except pydantic.ValidationError as error:
-        return outcome.Failure(
-            codes.ResultCode.SETTINGS_INVALID,
-            '\n'.join(settings.describe_errors(error, path)),
-        )
-    return outcome.Success(loaded)
--- a/wigeonhatch/entry/control.py
+++ b/wigeonhatch/entry/control.py
@@ -169,7 +169,7 @@
             settings.host,
             clock,
             node.membership,
-            lambda service: slots.loads().get(service),
+            slots.load,
         ),
         links=link_module.LinkBudget(clock),
         step_writer=step_writers.StepWriter(
--- a/wigeonhatch/entry/http_server.py
+++ b/wigeonhatch/entry/http_server.py
@@ -26,15 +26,12 @@
         yield
 
 
-def build_server(
-    app: typing.Any, address: str, max_connections: int | None = None
-) -> HttpServer:
+def build_server(app: typing.Any, address: str) -> HttpServer:
     """Build a server for one interface.
 
     Args:
         app: ASGI application.
         address: `IP:PORT` to listen on.
-        max_connections: Connection limit; None for none.
 
     Returns:
         A server; `serve()` runs it until `should_exit` is set.
@@ -51,7 +48,6 @@
         lifespan='off',
         server_header=False,
         date_header=False,
-        limit_concurrency=max_connections,
         timeout_keep_alive=_KEEP_ALIVE_S,
     )
     return HttpServer(config)
--- a/wigeonhatch/settings.py
+++ b/wigeonhatch/settings.py
@@ -15,6 +15,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 
+_CheckedT = typing.TypeVar('_CheckedT')
 CREDENTIAL_VARIABLE = 'WIGEONHATCH_CREDENTIAL'
 _PORT = re.compile('[0-9]{1,5}', re.ASCII)
 _STRICT = pydantic.ConfigDict(extra='forbid', strict=True)
@@ -129,6 +130,21 @@
     Returns:
         The settings, or `SETTINGS_INVALID` with one line for each error.
     """
+    return load_checked(path, Settings)
+
+
+def load_checked(
+    path: str, kind: type[_CheckedT]
+) -> outcome.Success[_CheckedT] | outcome.Failure:
+    """Read a JSON file and check it against a dataclass.
+
+    Args:
+        path: JSON file.
+        kind: Checked dataclass.
+
+    Returns:
+        The data, or `SETTINGS_INVALID` with one line for each error.
+    """
     try:
         content = pathlib.Path(path).read_bytes()
     except (OSError, ValueError) as error:
@@ -137,11 +153,11 @@
             codes.ResultCode.SETTINGS_INVALID, f'{path}: {reason}'
         )
     try:
-        settings = pydantic.TypeAdapter(Settings).validate_json(content)
+        loaded = pydantic.TypeAdapter(kind).validate_json(content)
     except pydantic.ValidationError as error:
         detail = '\n'.join(describe_errors(error, path))
         return outcome.Failure(codes.ResultCode.SETTINGS_INVALID, detail)
-    return outcome.Success(settings)
+    return outcome.Success(loaded)
 
 
 def read_credential(
