--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -38,6 +38,7 @@
 from wigeonhatch.requests import model
 from wigeonhatch.requests import server
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import request as target_request
 
 CONNECTIONS = 16
 RESPONSE_BYTES = 200
@@ -264,7 +265,7 @@
     clock = clocks.Clock()
     client = target_client.TargetClient(clock)
     client.configure(surroundings.current)
-    head = target_client.RequestHead(
+    head = target_request.RequestHead(
         'GET',
         b'/svc/x',
         (
--- /dev/null
+++ b/wigeonhatch/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for each request."""
--- /dev/null
+++ b/wigeonhatch/balance/loads.py
@@ -0,0 +1,112 @@
+"""Requests in progress at each target, of this host and of its peers."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+from wigeonhatch import clock as clocks
+
+REPORT_LIFE_MS = 2_000
+"""Age at which a peer's counts are dropped; ten intervals of its reports."""
+_SMOOTHING = 0.1
+"""Weight of the newest duration; about the last ten responses count."""
+
+
+class LoadTable:
+    """Count requests in progress by target.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._own_by_target: collections.Counter[str] = collections.Counter()
+        self._peer_by_target: collections.Counter[str] = collections.Counter()
+        self._report_by_host: dict[str, tuple[int, dict[str, int]]] = {}
+        self._duration_by_service: dict[str, float] = {}
+
+    def start(self, target: str) -> None:
+        """Count a request that is sent to a target."""
+        self._own_by_target[target] += 1
+
+    def finish(self, target: str) -> None:
+        """Count the end of a request at a target."""
+        if self._own_by_target[target] <= 1:
+            del self._own_by_target[target]
+        else:
+            self._own_by_target[target] -= 1
+
+    def on_served(self, service: str, took_ms: int) -> None:
+        """Learn how long a request of a service takes.
+
+        Args:
+            service: Name of the service.
+            took_ms: Time from the request to the whole response in ms.
+        """
+        known = self._duration_by_service.get(service)
+        self._duration_by_service[service] = (
+            took_ms
+            if known is None
+            else known + _SMOOTHING * (took_ms - known)
+        )
+
+    def duration_ms(self, service: str, default_ms: float) -> float:
+        """Smoothed time of a request of a service in ms.
+
+        Args:
+            service: Name of the service.
+            default_ms: Result while nothing is known.
+        """
+        return self._duration_by_service.get(service, default_ms)
+
+    def in_progress(self, target: str) -> int:
+        """Requests of all hosts in progress at a target."""
+        return self._own_by_target[target] + self._peer_by_target[target]
+
+    def own_counts(self) -> dict[str, int]:
+        """Requests of this host in progress, by target."""
+        return dict(self._own_by_target)
+
+    def on_report(
+        self, host: str, count_by_target: collections.abc.Mapping[str, int]
+    ) -> None:
+        """Take over the counts of a peer.
+
+        Args:
+            host: Name of the peer.
+            count_by_target: Its requests in progress by target.
+        """
+        known = self._report_by_host.pop(host, None)
+        if known is not None:
+            self._peer_by_target.subtract(known[1])
+        counts = dict(count_by_target)
+        self._report_by_host[host] = (self._clock.now_ms, counts)
+        self._peer_by_target.update(counts)
+
+    def forget(self, host: str) -> None:
+        """Drop the counts of a peer."""
+        known = self._report_by_host.pop(host, None)
+        if known is not None:
+            self._peer_by_target.subtract(known[1])
+
+    def expire(self) -> None:
+        """Drop counts of peers that have not reported for too long."""
+        oldest_ms = self._clock.now_ms - REPORT_LIFE_MS
+        for host, (reported_ms, _) in list(self._report_by_host.items()):
+            if reported_ms < oldest_ms:
+                self.forget(host)
+        self._peer_by_target = +self._peer_by_target
+
+    def busy_by_host(
+        self, own_host: str
+    ) -> collections.abc.Iterator[tuple[str, dict[str, int]]]:
+        """Yield each host with its requests in progress by target.
+
+        Args:
+            own_host: Name of this host.
+        """
+        yield own_host, self.own_counts()
+        for host, (_, counts) in self._report_by_host.items():
+            yield host, counts
--- /dev/null
+++ b/wigeonhatch/balance/warmup.py
@@ -0,0 +1,86 @@
+"""Rate of requests to targets that are cold."""
+
+from __future__ import annotations
+
+import collections.abc
+
+import xxhash
+
+from wigeonhatch import clock as clocks
+
+OWNERS = 2
+"""Hosts that send to one cold target, so that the loss of one leaves one."""
+
+
+class _Bucket:
+    __slots__ = ('tokens', 'updated_ms')
+
+    def __init__(self, now_ms: int) -> None:
+        self.tokens = 1.0
+        self.updated_ms = now_ms
+
+
+class WarmupBudget:
+    """Bound the requests of this host to each cold target.
+
+    The hosts that rank first for a target share its rate equally. Hosts that
+    see different peers may choose different owners; the bound of the target
+    has room for twice the rate.
+
+    Args:
+        host: Name of this host.
+        clock: Source of monotonic time.
+        live_hosts: Names of the hosts that are reachable, with this one.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        clock: clocks.Clock,
+        live_hosts: collections.abc.Callable[[], collections.abc.Set[str]],
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._live_hosts = live_hosts
+        self._bucket_by_target: dict[str, _Bucket] = {}
+
+    def has_token(self, target: str, per_s: float) -> bool:
+        """Tell whether a request may be sent to a cold target.
+
+        Args:
+            target: Name of the target.
+            per_s: Requests per second of all hosts that it tolerates.
+        """
+        if per_s <= 0:
+            return True
+        hosts = self._live_hosts()
+        owners = sorted(
+            hosts,
+            key=lambda host: xxhash.xxh3_64_intdigest(
+                f'{host}\0{target}'.encode()
+            ),
+        )[:OWNERS]
+        if self._host not in owners:
+            return False
+        return self._refill(target, per_s / len(owners)).tokens >= 1.0
+
+    def take(self, target: str) -> None:
+        """Take the token that `has_token` has found."""
+        bucket = self._bucket_by_target.get(target)
+        if bucket is not None:
+            bucket.tokens -= 1.0
+
+    def keep(self, targets: collections.abc.Set[str]) -> None:
+        """Drop the budgets of all targets but some."""
+        for target in self._bucket_by_target.keys() - targets:
+            del self._bucket_by_target[target]
+
+    def _refill(self, target: str, per_s: float) -> _Bucket:
+        now_ms = self._clock.now_ms
+        bucket = self._bucket_by_target.get(target)
+        if bucket is None:
+            bucket = self._bucket_by_target[target] = _Bucket(now_ms)
+        elapsed_ms = now_ms - bucket.updated_ms
+        bucket.updated_ms = now_ms
+        bucket.tokens = min(1.0, bucket.tokens + per_s * elapsed_ms / 1_000)
+        return bucket
--- a/wigeonhatch/cli/commands.py
+++ b/wigeonhatch/cli/commands.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import collections.abc
-import json
 import re
 import sys
 import typing
 
 import anyio
-import msgspec
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import outcome
-from wigeonhatch import settings as settings_module
 from wigeonhatch.cli import _arguments
 from wigeonhatch.cli import access
 from wigeonhatch.cli import client as clients
+from wigeonhatch.cli import daemons
 from wigeonhatch.cli import render
+from wigeonhatch.cli import reports
 from wigeonhatch.config import check as checks
 from wigeonhatch.config import diff as diffs
 from wigeonhatch.config import drains
@@ -46,10 +45,10 @@
     """
     merged = merge.merge_folder(folder)
     if isinstance(merged, outcome.Failure):
-        return report(merged, json)
+        return reports.report(merged, json)
     checked = checks.check_merged(merged.value)
     if isinstance(checked, outcome.Failure):
-        return report(checked, json)
+        return reports.report(checked, json)
     counts = {
         'regions': len(checked.value.region_by_name),
         'hosts': len(checked.value.host_by_name),
@@ -59,7 +58,7 @@
         'drains': len(checked.value.drain_by_name),
     }
     listed = ', '.join(f'{name}: {count}' for name, count in counts.items())
-    return _finish(json, counts, [f'{folder}: no errors; {listed}'])
+    return reports.finish(json, counts, [f'{folder}: no errors; {listed}'])
 
 
 def diff(
@@ -74,10 +73,10 @@
     """
     merged = merge.merge_folder(folder)
     if isinstance(merged, outcome.Failure):
-        return report(merged, json)
+        return reports.report(merged, json)
     checked = checks.check_merged(merged.value)
     if isinstance(checked, outcome.Failure):
-        return report(checked, json)
+        return reports.report(checked, json)
     shown = _ask(
         hosts,
         settings,
@@ -85,7 +84,7 @@
     )
     if isinstance(shown, outcome.Failure):
         if shown.code is not codes.ResultCode.NOT_READY:
-            return report(shown, json)
+            return reports.report(shown, json)
         shown = outcome.Success(services.Shown(0, '', {}))
     current = shown.value
     document = drains.keep_commanded(current.document, merged.value.document)
@@ -98,7 +97,7 @@
         else f'no differences from version {current.version}'
     )
     value = {'version': current.version, 'differences': found}
-    return _finish(json, value, lines)
+    return reports.finish(json, value, lines)
 
 
 def apply(
@@ -127,12 +126,12 @@
     """
     files = merge.read_folder(folder)
     if isinstance(files, outcome.Failure):
-        return report(files, json)
+        return reports.report(files, json)
     base_version: int | None = None
     if base:
         number = _parse_number('--base', base, 2**53)
         if isinstance(number, outcome.Failure):
-            return report(number, json)
+            return reports.report(number, json)
         base_version = number
     name = access.operator_name(operator)
 
@@ -159,11 +158,11 @@
         lambda client: client.read(wire.CONFIG_PATH, services.Shown),
     )
     if isinstance(shown, outcome.Failure):
-        return report(shown, json)
+        return reports.report(shown, json)
     value = shown.value
     lines = [f'version {value.version}, change {value.change_id}']
-    lines.extend(_dump(value.document).splitlines())
-    return _finish(json, value, lines)
+    lines.extend(reports.dump(value.document).splitlines())
+    return reports.finish(json, value, lines)
 
 
 def status(*, hosts: str = '', settings: str = '', json: str = '') -> int:
@@ -180,8 +179,8 @@
         lambda client: client.read(wire.STATUS_PATH, services.Status),
     )
     if isinstance(found, outcome.Failure):
-        return report(found, json)
-    return _finish(json, found.value, render.status(found.value))
+        return reports.report(found, json)
+    return reports.finish(json, found.value, render.status(found.value))
 
 
 def drain(
@@ -245,7 +244,7 @@
     """
     number = _parse_number('--limit', limit, services.MAX_AUDIT_RECORDS)
     if isinstance(number, outcome.Failure):
-        return report(number, json)
+        return reports.report(number, json)
     found = _ask(
         hosts,
         settings,
@@ -254,8 +253,8 @@
         ),
     )
     if isinstance(found, outcome.Failure):
-        return report(found, json)
-    return _finish(json, found.value, render.audit(found.value))
+        return reports.report(found, json)
+    return reports.finish(json, found.value, render.audit(found.value))
 
 
 def list_codes(*, json: str = '', markdown: str = '') -> int:
@@ -267,27 +266,10 @@
       wigeonhatch codes
     """
     if _arguments.is_set(markdown):
-        return _finish('', None, render.code_page())
+        return reports.finish('', None, render.code_page())
     rows = list(render.code_rows())
     value = [dict(zip(render.CODE_HEADER, row)) for row in rows]
-    return _finish(json, value, render.table(render.CODE_HEADER, rows))
-
-
-def entry(settings: str) -> int:
-    """Run the daemon of an entry host.
-
-    wigeonhatch entry SETTINGS
-
-    Examples:
-      wigeonhatch entry /etc/wigeonhatch/entry-1.json
-    """
-    loaded = settings_module.load_settings(settings)
-    if isinstance(loaded, outcome.Failure):
-        return report(loaded, '')
-    # The operators' commands start faster without the daemon.
-    from wigeonhatch.entry import daemon
-
-    return daemon.run_entry(loaded.value)
+    return reports.finish(json, value, render.table(render.CODE_HEADER, rows))
 
 
 COMMAND_BY_NAME: dict[str, _arguments.Command] = {
@@ -300,35 +282,12 @@
     'undrain': undrain,
     'audit': audit,
     'codes': list_codes,
-    'entry': entry,
+    'entry': daemons.entry,
+    'edge': daemons.edge,
 }
 SWITCHES = frozenset({'json', 'markdown'})
 
 
-def report(failure: outcome.Failure, as_json: str) -> int:
-    """Print a failure.
-
-    Args:
-        failure: Outcome of the command.
-        as_json: Switch `--json`; the failure then goes to standard output.
-
-    Returns:
-        Exit status of the result code.
-    """
-    if _arguments.is_set(as_json):
-        _print_json(failure.code, failure.ran, failure.detail, None)
-    else:
-        sys.stderr.write(_title(failure.code))
-        if failure.detail:
-            sys.stderr.write(render.clean(failure.detail) + '\n')
-    return failure.info.exit_status
-
-
-def _title(code: codes.ResultCode) -> str:
-    meaning = codes.INFO_BY_CODE[code].meaning
-    return f'wigeonhatch: {code.name} ({int(code)}): {meaning}\n'
-
-
 def _edit(
     path: str,
     name: str,
@@ -357,9 +316,9 @@
 ) -> int:
     limit_ms = _parse_number('--wait_ms', wait_ms, _MAX_WAIT_MS)
     if isinstance(limit_ms, outcome.Failure):
-        return report(limit_ms, json)
+        return reports.report(limit_ms, json)
     if not names.is_name(operator):
-        return report(
+        return reports.report(
             _usage(
                 f'--operator: found {operator[:80]!r}; allowed: '
                 f'{names.ALLOWED}'
@@ -378,7 +337,7 @@
 
     done = _ask(hosts, settings, run)
     if isinstance(done, outcome.Failure):
-        return report(done, json)
+        return reports.report(done, json)
     accepted, confirmed = done.value.accepted, done.value.confirmed
     verb = 'accepted' if accepted.changed else 'unchanged'
     lines = [f'version {accepted.version} {verb}']
@@ -401,8 +360,8 @@
         else None,
     }
     if code is not codes.ResultCode.OK and not _arguments.is_set(json):
-        sys.stderr.write(_title(code))
-    return _finish(json, value, lines, code)
+        sys.stderr.write(reports.title(code))
+    return reports.finish(json, value, lines, code)
 
 
 class _Changed(typing.NamedTuple):
@@ -479,40 +438,6 @@
     return anyio.run(call)
 
 
-def _finish(
-    as_json: str,
-    value: object,
-    lines: collections.abc.Iterable[str],
-    code: codes.ResultCode = codes.ResultCode.OK,
-) -> int:
-    if _arguments.is_set(as_json):
-        _print_json(code, codes.INFO_BY_CODE[code].ran, '', value)
-    else:
-        for line in lines:
-            print(line)
-    return codes.INFO_BY_CODE[code].exit_status
-
-
-def _print_json(
-    code: codes.ResultCode, ran: codes.Ran, detail: str, value: object
-) -> None:
-    print(
-        _dump(
-            {
-                'code': int(code),
-                'name': code.name,
-                'ran': ran,
-                'detail': detail,
-                'value': msgspec.to_builtins(value),
-            }
-        )
-    )
-
-
-def _dump(value: object) -> str:
-    return json.dumps(value, indent=2, sort_keys=True)
-
-
 def _parse_number(name: str, text: str, maximum: int) -> int | outcome.Failure:
     if not re.fullmatch('[0-9]{1,16}', text, re.ASCII) or int(text) > maximum:
         return _usage(
--- /dev/null
+++ b/wigeonhatch/cli/daemons.py
@@ -0,0 +1,47 @@
+"""Commands that run a daemon."""
+
+from __future__ import annotations
+
+import os
+
+from wigeonhatch import outcome
+from wigeonhatch import settings as settings_module
+from wigeonhatch.cli import reports
+
+
+def entry(settings: str) -> int:
+    """Run the daemon of an entry host.
+
+    wigeonhatch entry SETTINGS
+
+    Examples:
+      wigeonhatch entry /etc/wigeonhatch/entry-1.json
+    """
+    loaded = settings_module.load_settings(settings)
+    if isinstance(loaded, outcome.Failure):
+        return reports.report(loaded, '')
+    # The operators' commands start faster without the daemon.
+    from wigeonhatch.entry import daemon
+
+    return daemon.run_entry(loaded.value)
+
+
+def edge(settings: str = '') -> int:
+    """Run the daemon of an entry host on a platform.
+
+    wigeonhatch edge [SETTINGS]
+
+    Without a file, the environment variable WIGEONHATCH_SETTINGS names it.
+
+    Examples:
+      wigeonhatch edge /etc/wigeonhatch/node.json
+    """
+    from wigeonhatch.entry import edge_settings
+
+    path = settings or os.environ.get(edge_settings.SETTINGS_VARIABLE, '')
+    loaded = settings_module.load_checked(path, edge_settings.EdgeSettings)
+    if isinstance(loaded, outcome.Failure):
+        return reports.report(loaded, '')
+    from wigeonhatch.entry import edge_daemon
+
+    return edge_daemon.run_edge(loaded.value)
--- a/wigeonhatch/cli/program.py
+++ b/wigeonhatch/cli/program.py
@@ -13,6 +13,7 @@
 from wigeonhatch import outcome
 from wigeonhatch.cli import _arguments
 from wigeonhatch.cli import commands
+from wigeonhatch.cli import reports
 
 _LOG = logging.getLogger(__name__)
 _INTERRUPTED = 130
@@ -53,7 +54,7 @@
         # stack.
         if logging.getLogger().handlers:
             _LOG.exception('the command failed')
-        return commands.report(
+        return reports.report(
             outcome.Failure(
                 codes.ResultCode.INTERNAL, f'{type(error).__name__}: {error}'
             ),
@@ -82,7 +83,7 @@
     hint = f'wigeonhatch {name} --help'
     if name not in commands.COMMAND_BY_NAME:
         hint = 'wigeonhatch --help'
-    return commands.report(
+    return reports.report(
         outcome.Failure(codes.ResultCode.USAGE, f'{detail}\nsee `{hint}`'),
         str('--json' in rest),
     )
--- /dev/null
+++ b/wigeonhatch/durations.py
@@ -0,0 +1,26 @@
+"""Durations as text, such as `1500ms` or `2.5s`."""
+
+from __future__ import annotations
+
+import re
+
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)', re.ASCII)
+_MS_BY_UNIT = {'ms': 1.0, 's': 1_000.0}
+
+
+def parse_duration_ms(text: object) -> int:
+    """Read a duration with its unit.
+
+    Args:
+        text: Number and unit, `ms` or `s`.
+
+    Returns:
+        Duration in ms.
+
+    Raises:
+        ValueError: The text is no duration.
+    """
+    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise ValueError(f'{text!r:.40} is not a number with ms or s')
+    return round(float(match[1]) * _MS_BY_UNIT[match[2]])
--- /dev/null
+++ b/wigeonhatch/entry/directory.py
@@ -0,0 +1,81 @@
+"""Readiness, lookups of hosts, and metrics of an entry host."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from wigeonhatch.platform import edge
+from wigeonhatch.platform import names
+from wigeonhatch.requests import _asgi
+from wigeonhatch.requests import _head
+
+METRICS_PATH = '/metrics'
+_MAX_ADDRESSES = 64
+"""Addresses of which a caller takes note."""
+_JSON = (b'content-type', b'application/json')
+_TEXT = (b'content-type', b'text/plain; version=0.0.4')
+
+
+class DirectoryApplication:
+    """Small interfaces of an entry host.
+
+    Args:
+        is_serving: Tells whether callers may be sent to this host.
+        find_addresses: Addresses of hosts for a failure domain and region.
+        ttl_ms: Time for which a lookup counts in ms.
+        expose: Renders the metrics.
+    """
+
+    def __init__(
+        self,
+        is_serving: collections.abc.Callable[[], bool],
+        find_addresses: collections.abc.Callable[[str, str], list[str]],
+        ttl_ms: int,
+        expose: collections.abc.Callable[[], bytes],
+    ) -> None:
+        self._is_serving = is_serving
+        self._find_addresses = find_addresses
+        self._ttl_ms = ttl_ms
+        self._expose = expose
+
+    async def __call__(
+        self,
+        scope: _asgi.Scope,
+        receive: typing.Any,
+        send: _asgi.Send,
+    ) -> None:
+        """Answer one request.
+
+        Args:
+            scope: ASGI scope.
+            receive: Not used; the requests have no bodies.
+            send: Sends the response.
+        """
+        if scope['type'] != 'http':
+            return
+        status, content_type, body = self._answer(scope)
+        await _asgi.send_response(
+            send,
+            status,
+            [content_type, (b'content-length', b'%d' % len(body))],
+            body,
+        )
+
+    def _answer(
+        self, scope: _asgi.Scope
+    ) -> tuple[int, tuple[bytes, bytes], bytes]:
+        path = scope['path']
+        if path == names.READINESS_PATH:
+            return (200 if self._is_serving() else 503), _TEXT, b''
+        if path == METRICS_PATH:
+            return 200, _TEXT, self._expose()
+        if path != names.DIRECTORY_PATH:
+            return 404, _TEXT, b''
+        query = _head.parse_query(scope['query_string'])
+        addresses = self._find_addresses(
+            query.get('zone', ''), query.get('region', '')
+        )[:_MAX_ADDRESSES]
+        if not addresses:
+            return 503, _TEXT, b''
+        return 200, _JSON, edge.encode_directory(addresses, self._ttl_ms)
--- /dev/null
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -0,0 +1,309 @@
+"""The daemon of an entry host on a platform."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import typing
+
+import anyio
+import anyio.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import log
+from wigeonhatch.balance import ejection
+from wigeonhatch.balance import loads
+from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import region_split
+from wigeonhatch.balance import warmup
+from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import directory
+from wigeonhatch.entry import edge_settings
+from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.entry import http_server
+from wigeonhatch.entry import table_follower
+from wigeonhatch.metrics import collector
+from wigeonhatch.platform import names
+from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import edge as edges
+from wigeonhatch.requests import relay as relays
+from wigeonhatch.requests import retry
+from wigeonhatch.requests import server as request_server
+from wigeonhatch.routes import model
+from wigeonhatch.routes import table as tables
+from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import registry
+
+CONNECT_TIMEOUT_MS = 300
+"""Longest wait for a connection to a target; a round trip takes up to 90 ms,
+and the request can go to another target afterwards."""
+RETRY_SAFETY = 0.5
+"""Part of the agreed retries that hosts use, as their counts differ."""
+EXIT_MARGIN_MS = 400
+"""Time before the forced end at which the process ends by itself."""
+MIN_SERVICE_MS = 2_500
+"""Time that a request needs before the forced end to be taken on."""
+DIRECTORY_TTL_MS = 2_000
+"""Time for which a lookup counts: a stopped host is left after it."""
+_POLL_MS = 50
+_LOG = logging.getLogger(__name__)
+
+
+class EdgeDaemon:
+    """One entry host: relays requests, and tells callers which hosts serve.
+
+    Args:
+        settings: Checked settings.
+        clock: Clock of the host.
+    """
+
+    def __init__(
+        self, settings: edge_settings.EdgeSettings, clock: clocks.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
+        self._is_stopping = False
+        self._metrics = collector.Metrics(clock)
+        self._store = stores.StoreClient(settings.store_address)
+        self._routes = tables.RouteTable()
+        self._targets = registry.TargetRegistry(clock)
+        self._loads = loads.LoadTable(clock)
+        self._ejections = ejection.EjectionTable(clock)
+        self._fleet = fleets.Fleet(
+            settings,
+            self._store,
+            self._loads,
+            lambda: self.is_serving,
+            lambda: self._config_version,
+            clock,
+        )
+        self._warmups = warmup.WarmupBudget(
+            settings.host, clock, self._fleet.live_hosts
+        )
+        self._picker = pickers.Picker(
+            settings.region,
+            settings.region_by_domain,
+            settings.bounds.max_shift,
+            self._targets,
+            self._loads,
+            self._ejections,
+            self._warmups,
+            clock,
+        )
+        self._client = target_client.TargetClient(
+            clock, accepts_unframed=True, connect_timeout_ms=CONNECT_TIMEOUT_MS
+        )
+        self._catalog = catalogs.Catalog(
+            self._routes,
+            self._targets,
+            self._on_config,
+            self._on_targets,
+            clock,
+        )
+        self._application = edges.EdgeApplication(
+            self._routes,
+            relays.Relay(
+                self._picker,
+                self._loads,
+                self._ejections,
+                self._warmups,
+                self._targets,
+                self._client,
+                self._build_budget,
+                clock,
+            ),
+            self._region_of_target,
+            self._on_finished,
+            clock,
+        )
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers may be sent to this host."""
+        return self._routes.config is not None and not self._is_stopping
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop gracefully."""
+        settings = self._settings
+        callers = http_server.HttpServer(
+            request_server.build_server_config(
+                typing.cast(typing.Any, self._application),
+                settings.caller_address,
+                settings.limits,
+            )
+        )
+        lookups = directory.DirectoryApplication(
+            lambda: self.is_serving,
+            self._fleet.caller_addresses,
+            min(DIRECTORY_TTL_MS, settings.bounds.directory_ttl_max),
+            self._metrics.expose,
+        )
+        addresses = (
+            settings.readiness_address,
+            settings.directory_address,
+            f'{settings.ip}:{settings.metrics_port}',
+        )
+        servers = [
+            callers,
+            *(http_server.build_server(lookups, item) for item in addresses),
+        ]
+        log.event(_LOG, 'started', host=settings.host, domain=settings.domain)
+        async with anyio.create_task_group() as tasks:
+            await self._fleet.open()
+            for server in servers:
+                tasks.start_soon(server.serve)
+            for follower in self._build_followers():
+                tasks.start_soon(follower.run)
+            tasks.start_soon(self._fleet.register)
+            tasks.start_soon(self._fleet.run)
+            tasks.start_soon(self._adjust)
+            await self._wait_for_signal()
+            await self._stop()
+            for server in servers:
+                server.should_exit = True
+            await self._clock.sleep_ms(EXIT_MARGIN_MS // 2)
+            tasks.cancel_scope.cancel()
+        self._fleet.close()
+        log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
+
+    @property
+    def _config_version(self) -> int:
+        config = self._routes.config
+        return 0 if config is None else config.version
+
+    def _build_followers(self) -> list[table_follower.TableFollower]:
+        catalog = self._catalog
+
+        table_by_name = {
+            names.OPERATOR_TABLE: (
+                catalog.on_operator_snapshot,
+                catalog.on_operator_changes,
+            ),
+            names.TARGET_TABLE: (
+                catalog.on_target_snapshot,
+                catalog.on_target_changes,
+            ),
+            names.HOST_TABLE: (
+                self._fleet.on_host_snapshot,
+                self._fleet.on_host_changes,
+            ),
+        }
+        return [
+            table_follower.TableFollower(
+                self._store,
+                name,
+                on_snapshot,
+                on_changes,
+                catalog.on_store_regained,
+                self._clock,
+                self._rng,
+            )
+            for name, (on_snapshot, on_changes) in table_by_name.items()
+        ]
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                log.event(_LOG, 'signal', name=signal.Signals(number).name)
+                if number != signal.SIGHUP:
+                    return
+
+    async def _stop(self) -> None:
+        """Leave the lookups, serve what still arrives, and finish it."""
+        clock = self._clock
+        started_ms = clock.now_ms
+        self._is_stopping = True
+        self._application.is_stopping = True
+        end_ms = started_ms + self._settings.bounds.stop_grace - EXIT_MARGIN_MS
+        refuse_ms = end_ms - MIN_SERVICE_MS
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._fleet.leave)
+            while clock.now_ms < end_ms:
+                now_ms = clock.now_ms
+                self._application.is_refusing = now_ms >= refuse_ms
+                is_left = now_ms - started_ms > DIRECTORY_TTL_MS
+                if is_left and not self._application.in_progress:
+                    break
+                await clock.sleep_ms(_POLL_MS)
+            tasks.cancel_scope.cancel()
+
+    async def _adjust(self) -> None:
+        while True:
+            await self._clock.sleep_ms(region_split.STEP_MS)
+            self._catalog.drop_missing()
+            self._picker.adjust_splits(self._fleet.peers.region_by_host())
+
+    def _on_config(self, config: model.RoutingConfig) -> None:
+        self._picker.configure(config.service_by_name)
+        self._on_targets()
+
+    def _on_targets(self) -> None:
+        records = self._targets.record_by_name
+        config = self._routes.config
+        self._ejections.keep(frozenset(records))
+        self._warmups.keep(records.keys())
+        services = {} if config is None else config.service_by_name
+        self._client.set_targets(
+            {
+                record.name: (
+                    record.address,
+                    services[record.service].max_connections,
+                )
+                for record in records.values()
+                if record.service in services
+            }
+        )
+
+    def _build_budget(self) -> retry.RetryBudget:
+        bounds = self._settings.bounds
+        hosts = max(
+            len(self._settings.region_by_domain),
+            len(self._fleet.roster.ip_by_host) + 1,
+        )
+        return retry.RetryBudget(
+            int(bounds.retry_ratio * RETRY_SAFETY * 100),
+            max(1, int(bounds.retry_slack * RETRY_SAFETY / hosts)),
+        )
+
+    def _region_of_target(self, name: str) -> str:
+        record = self._targets.record_by_name.get(name)
+        return '' if record is None else self._picker.region_of(record.domain)
+
+    def _on_finished(
+        self,
+        service: str,
+        region: str,
+        code: codes.ResultCode,
+        took_ms: int,
+    ) -> None:
+        self._metrics.on_request(service, region, code, took_ms * 1_000)
+
+
+def run_edge(settings: edge_settings.EdgeSettings) -> int:
+    """Run the daemon until SIGTERM.
+
+    Args:
+        settings: Checked settings.
+
+    Returns:
+        Exit status.
+    """
+    log.configure_logging(settings.log_level)
+
+    async def main() -> None:
+        await EdgeDaemon(settings, clocks.Clock()).run()
+
+    try:
+        anyio.run(main, backend_options={'use_uvloop': True})
+    except ExceptionGroup as group:
+        matched, rest = group.split(OSError)
+        if matched is None or rest is not None:
+            raise
+        _LOG.error('cannot start: %s', matched.exceptions)
+        return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
+    return 0
--- /dev/null
+++ b/wigeonhatch/entry/edge_settings.py
@@ -0,0 +1,80 @@
+"""Settings of a daemon on a platform that lists targets and routes."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import pydantic
+from pydantic import dataclasses as checked
+
+from wigeonhatch import durations
+from wigeonhatch import settings
+
+SETTINGS_VARIABLE = 'WIGEONHATCH_SETTINGS'
+_CONFIG = pydantic.ConfigDict(extra='forbid')
+
+Duration = typing.Annotated[
+    int, pydantic.BeforeValidator(durations.parse_duration_ms)
+]
+Ratio = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+@checked.dataclass(frozen=True, config=_CONFIG)
+class Bounds:
+    """Bounds that the platform's operators have agreed with callers.
+
+    Args:
+        stop_grace: Time from SIGTERM to the forced end in ms.
+        max_shift: Largest part of a region's requests that changes its
+            region from one window of 2 s to the next.
+        retry_ratio: Repeated sends per request, over all hosts.
+        retry_slack: Repeated sends beyond the ratio, over all hosts.
+        retry_window: Window of both in ms.
+        directory_ttl_max: Longest time for which a lookup counts in ms.
+    """
+
+    stop_grace: Duration
+    retry_ratio: Ratio
+    retry_slack: float
+    retry_window: Duration
+    directory_ttl_max: Duration
+    max_shift: Ratio = 1.0
+
+
+@checked.dataclass(frozen=True, config=_CONFIG)
+class EdgeSettings:
+    """Settings of one daemon.
+
+    Args:
+        host: Name of this host.
+        ip: Its address.
+        domain: Its failure domain.
+        region: Its region.
+        region_by_domain: Region of each failure domain.
+        caller_address: `IP:PORT` of the callers' interface.
+        readiness_address: `IP:PORT` of the readiness check.
+        directory_address: `IP:PORT` where callers look hosts up.
+        peer_port: UDP port of the hosts' exchange, the same on all hosts.
+        metrics_port: TCP port of the metrics.
+        store_address: `IP:PORT` of the platform's store.
+        bounds: Agreed bounds.
+        log_level: Level of the `logging` library.
+    """
+
+    host: str
+    ip: str
+    domain: str
+    region: str
+    region_by_domain: dict[str, str]
+    caller_address: settings.Address
+    readiness_address: settings.Address
+    directory_address: settings.Address
+    peer_port: settings.Port
+    metrics_port: settings.Port
+    store_address: settings.Address
+    bounds: Bounds
+    log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    limits: settings.Limits = dataclasses.field(
+        default_factory=settings.Limits
+    )
--- /dev/null
+++ b/wigeonhatch/peers/roster.py
@@ -0,0 +1,73 @@
+"""Hosts that the platform's store lists, and how to reach them."""
+
+from __future__ import annotations
+
+import collections.abc
+
+import msgspec
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """Row of one host in the store.
+
+    Args:
+        ip: Address of the host.
+        incarnation: Time of its start in ms since the Unix epoch.
+    """
+
+    ip: str
+    incarnation: int
+
+
+class Roster:
+    """Addresses of all hosts by name.
+
+    Args:
+        own_host: Name of this host, which is left out.
+    """
+
+    def __init__(self, own_host: str) -> None:
+        self.ip_by_host: dict[str, str] = {}
+        self._own_host = own_host
+
+    def put(self, host: str, content: bytes) -> None:
+        """Take over the row of a host.
+
+        Args:
+            host: Name of the host.
+            content: Encoded row.
+
+        Raises:
+            ValueError: The row is malformed.
+        """
+        if host == self._own_host:
+            return
+        try:
+            entry = msgspec.json.decode(content, type=HostEntry)
+        except msgspec.DecodeError as error:
+            raise ValueError(str(error)) from error
+        self.ip_by_host[host] = entry.ip
+
+    def learn(self, host: str, ip: str) -> None:
+        """Take over the address from which a host has sent its state."""
+        if host != self._own_host:
+            self.ip_by_host[host] = ip
+
+    def remove(self, host: str) -> None:
+        """Forget a host that has left."""
+        self.ip_by_host.pop(host, None)
+
+    def keep(self, hosts: collections.abc.Set[str]) -> None:
+        """Forget all hosts but some."""
+        for host in self.ip_by_host.keys() - hosts:
+            del self.ip_by_host[host]
+
+
+def encode_entry(ip: str, incarnation: int) -> bytes:
+    """Encode the row of a host.
+
+    Args:
+        ip: Address of the host.
+        incarnation: Time of its start in ms since the Unix epoch.
+    """
+    return msgspec.json.encode(HostEntry(ip, incarnation))
--- /dev/null
+++ b/wigeonhatch/platform/names.py
@@ -0,0 +1,27 @@
+"""Names that the platform gives to tables, header fields and paths."""
+
+from __future__ import annotations
+
+# Tables of the store. The platform alone writes to the first two.
+OPERATOR_TABLE = 'op'
+TARGET_TABLE = 'servers'
+HOST_TABLE = 'wigeonhatch_hosts'
+
+CONFIG_KEY = 'config'
+EVACUATE_PREFIX = 'evacuate/'
+
+# Header fields, in lower case.
+REQUEST_ID = b'request-id'
+AFFINITY_KEY = b'affinity-key'
+DEADLINE_MS = b'deadline-ms'
+RETRY_AFTER = b'retry-after'
+TARGET_NAME = b'target-instance'
+# In a response: the target that holds the address now.
+ANSWERING_TARGET = b'instance-id'
+NOT_RUN = b'not-executed'
+SIGNATURE = b'response-signature'
+LOAD_REPORT = b'server-load'
+WARMUP_LEFT_MS = b'warmup-ms'
+
+READINESS_PATH = '/readiness'
+DIRECTORY_PATH = '/resolve'
--- /dev/null
+++ b/wigeonhatch/platform/store.py
@@ -0,0 +1,277 @@
+"""Client of the platform's store of rows."""
+
+from __future__ import annotations
+
+import base64
+import collections.abc
+import dataclasses
+import typing
+import urllib.parse
+
+import httpcore
+import msgspec
+
+from wigeonhatch.platform import interface
+
+CALL_TIMEOUT_MS = 1_500
+"""Bound of one call; an answer of a slow store takes about 400 ms."""
+CONNECT_TIMEOUT_MS = 500
+"""Bound of a new connection; the longest round trip is below 100 ms."""
+_FEED_MARGIN_MS = 1_000
+"""Time beyond the wait of a feed until its connection counts as silent."""
+_MAX_CONNECTIONS = 5
+_PAGE_ROWS = 500
+_HISTORY_GONE = 410
+_CONFLICT = 412
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.ConnectionNotAvailable,
+)
+_BROKEN = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+class _WireRow(msgspec.Struct):
+    """Row as the store sends it; `ver` counts all changes of the store."""
+
+    key: str
+    part: str = ''
+    value: str = ''
+    ver: int = 0
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    """Rows of one answer; `ver` is the newest change of the store."""
+
+    rows: list[_WireRow]
+    ver: int
+    has_more: bool = False
+
+
+class _WireVersion(msgspec.Struct):
+    ver: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """One row of a table.
+
+    Args:
+        key: Key of the row.
+        value: Content; empty for a row that was deleted.
+        version: Change of the store that wrote the row.
+        is_deleted: Whether the row was deleted.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    is_deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Rows of a table and the change of the store up to which they hold."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store no longer keeps the changes that were asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+
+
+class StoreClient:
+    """Access tables of the platform's store.
+
+    Args:
+        address: `IP:PORT` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base_url = f'http://{address}'
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS, keepalive_expiry=10
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def list_rows(self, table: str) -> Snapshot | interface.Unavailable:
+        """Read all rows of a table.
+
+        Args:
+            table: Name of the table.
+
+        Returns:
+            The rows; those of a later page may be newer than the version.
+        """
+        rows: list[StoredRow] = []
+        version = 0
+        start = ''
+        while True:
+            query = {'table': table, 'part': '', 'limit': _PAGE_ROWS}
+            if start:
+                query['from'] = start
+            reply = await self._call('GET', 'rows-get', query)
+            page = _decode(reply, _WireRows)
+            if isinstance(page, interface.Unavailable):
+                return page
+            rows.extend(_decode_rows(page.rows))
+            version = version or page.ver
+            if not page.has_more or not page.rows:
+                return Snapshot(tuple(rows), version)
+            start = page.rows[-1].key + '\0'
+
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> Snapshot | HistoryGone | interface.Unavailable:
+        """Wait for changes of a table.
+
+        Args:
+            table: Name of the table.
+            after: Change of the store up to which the caller knows it.
+            wait_ms: Longest wait of the store in ms.
+
+        Returns:
+            Changed rows in order, none after the wait.
+        """
+        query = {'table': table, 'after': after, 'wait_ms': wait_ms}
+        reply = await self._call(
+            'GET', 'rows-feed', query, wait_ms + _FEED_MARGIN_MS
+        )
+        if isinstance(reply, _Reply) and reply.status == _HISTORY_GONE:
+            return HistoryGone()
+        page = _decode(reply, _WireRows)
+        if isinstance(page, interface.Unavailable):
+            return page
+        return Snapshot(tuple(_decode_rows(page.rows)), page.ver)
+
+    async def put_row(
+        self, table: str, key: str, value: bytes
+    ) -> int | interface.Unavailable | interface.Unknown:
+        """Write one row, whatever it held.
+
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            value: Content.
+
+        Returns:
+            Change of the store that wrote it.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        encoded = base64.b64encode(value).decode()
+        return await self._transact(writes=[row | {'value': encoded}])
+
+    async def remove_row(
+        self, table: str, key: str
+    ) -> int | interface.Unavailable | interface.Unknown:
+        """Delete one row if it exists.
+
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        return await self._transact(remove=[row])
+
+    async def _transact(
+        self, **entries: list[dict[str, str]]
+    ) -> int | interface.Unavailable | interface.Unknown:
+        body: dict[str, list[dict[str, str]]] = {
+            'precondition': [],
+            'writes': [],
+            'remove': [],
+        }
+        body.update(entries)
+        reply = await self._call(
+            'POST', 'rows-tx', {}, content=msgspec.json.encode(body)
+        )
+        if isinstance(reply, interface.Unknown):
+            return reply
+        version = _decode(reply, _WireVersion)
+        return (
+            version
+            if isinstance(version, interface.Unavailable)
+            else version.ver
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: collections.abc.Mapping[str, object],
+        timeout_ms: int = CALL_TIMEOUT_MS,
+        content: bytes | None = None,
+    ) -> _Reply | interface.Unavailable | interface.Unknown:
+        url = f'{self._base_url}/{path}'
+        if query:
+            url += '?' + urllib.parse.urlencode(query)
+        timeouts = {
+            'connect': CONNECT_TIMEOUT_MS / 1_000,
+            'read': timeout_ms / 1_000,
+            'write': CALL_TIMEOUT_MS / 1_000,
+            'pool': CALL_TIMEOUT_MS / 1_000,
+        }
+        headers = [] if content is None else [_JSON_HEADER]
+        try:
+            response = await self._pool.request(
+                method,
+                url,
+                headers=headers,
+                content=content,
+                extensions={'timeout': timeouts},
+            )
+        except _NOT_SENT as error:
+            return interface.Unavailable(type(error).__name__)
+        except _BROKEN as error:
+            return interface.Unknown(type(error).__name__)
+        return _Reply(response.status, response.content)
+
+
+_JSON_HEADER = (b'Content-Type', b'application/json')
+
+
+def _decode_rows(
+    rows: collections.abc.Iterable[_WireRow],
+) -> collections.abc.Iterator[StoredRow]:
+    for row in rows:
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except ValueError:
+            # Decoding the empty content reports the row as unusable.
+            value = b''
+        yield StoredRow(row.key, value, row.ver, row.deleted)
+
+
+_T = typing.TypeVar('_T')
+
+
+def _decode(
+    reply: _Reply | interface.Unavailable | interface.Unknown,
+    wanted: type[_T],
+) -> _T | interface.Unavailable:
+    if not isinstance(reply, _Reply):
+        return interface.Unavailable(reply.detail)
+    if reply.status != 200:
+        return interface.Unavailable(f'HTTP status {reply.status}')
+    try:
+        return msgspec.json.decode(reply.body, type=wanted)
+    except msgspec.DecodeError as error:
+        return interface.Unavailable(f'malformed answer: {error}')
--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 import logging
 import typing
 
-import anyio
 import msgspec
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch import settings
+from wigeonhatch.requests import _asgi
 from wigeonhatch.requests import _head
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import attempts
@@ -26,12 +25,8 @@
 
 LOOKUP_PATH = '/.wigeonhatch/v1/lookup'
 HEALTH_PATH = '/.wigeonhatch/v1/health'
-ABORT_EXTENSION = 'wigeonhatch.abort'
 _OWN_PREFIX = '/.wigeonhatch'
 
-Message = collections.abc.MutableMapping[str, typing.Any]
-Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
-Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
 Lookup = collections.abc.Callable[
     [str, str, int], outcome.Success[typing.Any] | outcome.Failure
 ]
@@ -40,111 +35,6 @@
 ]
 
 
-class _AsgiReply:
-    """Send a response to the caller."""
-
-    def __init__(self, send: Send, is_head: bool) -> None:
-        self.is_started = False
-        self.is_finished = False
-        self._send = send
-        self._is_head = is_head
-        self._length = -1
-        self._count = 0
-
-    async def start(
-        self, status: int, headers: fields.HeaderTuple
-    ) -> outcome.Failure | None:
-        self.is_started = True
-        if not self._is_head:
-            length = fields.find(headers, b'content-length')
-            self._length = -1 if length is None else int(length)
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            }
-        )
-        return None
-
-    async def write(
-        self, part: bytes, is_last: bool
-    ) -> outcome.Failure | None:
-        self._count += len(part)
-        if self._length >= 0 and (
-            self._count > self._length
-            or (is_last and self._count != self._length)
-        ):
-            LOG.error(
-                'INVARIANT_VIOLATED: %d bytes to the caller, declared %d',
-                self._count,
-                self._length,
-            )
-            return outcome.Failure(
-                codes.ResultCode.INVARIANT_VIOLATED,
-                'the response differs from its declared length',
-                codes.Ran.RAN,
-            )
-        # Set first, because the server wakes up the watcher of the
-        # connection when it has sent the last part.
-        self.is_finished = is_last
-        await self._send(
-            {
-                'type': 'http.response.body',
-                'body': part,
-                'more_body': not is_last,
-            }
-        )
-        return None
-
-
-class _Caller:
-    """Receive a body and notice when the caller goes away."""
-
-    def __init__(
-        self,
-        receive: Receive,
-        reply: _AsgiReply,
-        control: model.RequestControl,
-        max_gap_ms: int,
-    ) -> None:
-        self._receive = receive
-        self._reply = reply
-        self._control = control
-        self._max_gap_ms = max_gap_ms
-        self._is_ended = False
-        self._watcher: asyncio.Task[None] | None = None
-
-    async def read_part(self) -> bytes | None | outcome.Failure:
-        """Read the next part of the body."""
-        if self._is_ended:
-            return None
-        message: Message | None = None
-        with anyio.move_on_after(self._max_gap_ms / 1_000):
-            message = await self._receive()
-        if message is None:
-            return outcome.Failure(
-                codes.ResultCode.SLOW_SENDER,
-                f'no part of the body for {self._max_gap_ms} ms',
-            )
-        if message['type'] == 'http.disconnect':
-            return outcome.Failure(codes.ResultCode.CALLER_GONE)
-        if not message.get('more_body', False):
-            self._is_ended = True
-            self.watch()
-        return bytes(message.get('body', b''))
-
-    def watch(self) -> None:
-        """Start to watch for the end of the connection."""
-        self._watcher = asyncio.get_running_loop().create_task(self._watch())
-
-    async def _watch(self) -> None:
-        while (await self._receive())['type'] != 'http.disconnect':
-            pass
-        if not self._reply.is_finished:
-            self._control.on_caller_gone()
-
-
 class Application:
     """Callers' interface of one host.
 
@@ -180,7 +70,7 @@
         self._encoder = msgspec.json.Encoder()
 
     async def __call__(
-        self, scope: _head.Scope, receive: Receive, send: Send
+        self, scope: _head.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         """Serve one request.
 
@@ -202,7 +92,7 @@
             self.in_progress -= 1
 
     async def handle_request(
-        self, scope: _head.Scope, receive: Receive, send: Send
+        self, scope: _head.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         """Serve one request for a service.
 
@@ -227,9 +117,11 @@
             self._report(request_id, '', parsed, started_ms)
             return
         request, length = parsed
-        reply = _AsgiReply(send, request.method == 'HEAD')
+        reply = _asgi.AsgiReply(send, request.method == 'HEAD')
         control = model.RequestControl()
-        caller = _Caller(receive, reply, control, self._limits.max_body_gap_ms)
+        caller = _asgi.CallerConnection(
+            receive, reply, control, self._limits.max_body_gap_ms
+        )
         body = bodies.RequestBody(
             length, caller.read_part, self._limits.max_body_bytes
         )
@@ -246,7 +138,7 @@
             )
         if isinstance(result, outcome.Failure):
             if reply.is_started:
-                await _abort(scope)
+                await _asgi.abort(scope)
             else:
                 reply.is_finished = True
                 await self._refuse(send, result, request_id)
@@ -260,7 +152,7 @@
             return outcome.Failure(codes.ResultCode.INTERNAL)
 
     async def _handle_own(
-        self, scope: _head.Scope, path: str, send: Send
+        self, scope: _head.Scope, path: str, send: _asgi.Send
     ) -> None:
         answer: outcome.Success[typing.Any] | outcome.Failure
         if path == LOOKUP_PATH:
@@ -276,7 +168,7 @@
         content = answer.value
         if not isinstance(content, bytes):
             content = self._encoder.encode(content)
-        await _send_response(
+        await _asgi.send_response(
             send,
             200,
             [
@@ -315,10 +207,10 @@
         return self._lookup(service, client, int(count))
 
     async def _refuse(
-        self, send: Send, failure: outcome.Failure, request_id: str
+        self, send: _asgi.Send, failure: outcome.Failure, request_id: str
     ) -> None:
         status, headers, body = _replies.render_refusal(failure, request_id)
-        await _send_response(send, status, headers, body)
+        await _asgi.send_response(send, status, headers, body)
 
     def _report(
         self,
@@ -349,25 +241,3 @@
                     self._clock.now_ms - started_ms,
                 )
             )
-
-
-async def _send_response(
-    send: Send,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes,
-) -> None:
-    await send(
-        {'type': 'http.response.start', 'status': status, 'headers': headers}
-    )
-    await send({'type': 'http.response.body', 'body': body})
-
-
-async def _abort(scope: _head.Scope) -> None:
-    """Close the connection so that the response is seen as incomplete."""
-    abort = scope.get('extensions', {}).get(ABORT_EXTENSION)
-    if abort is not None:
-        abort()
-        # Lets the server see the end of the connection before the
-        # application returns.
-        await asyncio.sleep(0)
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -22,6 +22,8 @@
 from wigeonhatch.requests import model
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import request as target_request
+from wigeonhatch.targets import response as target_response
 
 # Longest wait of a customer within its reservation for a slot, at each host.
 RESERVATION_WAIT_MS = 100
@@ -398,7 +400,7 @@
 
     def _head(
         self, request: model.CallerRequest, body: bodies.RequestBody
-    ) -> target_client.RequestHead:
+    ) -> target_request.RequestHead:
         remaining_ms = max(1, request.deadline_ms - self._clock.now_ms)
         headers = [
             *request.headers,
@@ -408,13 +410,13 @@
         ]
         if request.customer:
             headers.append((fields.CUSTOMER, request.customer.encode()))
-        return target_client.RequestHead(
+        return target_request.RequestHead(
             request.method, request.path, tuple(headers), body.length
         )
 
 
 async def _pass_on(
-    response: target_client.TargetResponse,
+    response: target_response.TargetResponse,
     reply: model.Reply,
     release: collections.abc.Callable[[], None],
 ) -> Result:
--- a/wigeonhatch/requests/body.py
+++ b/wigeonhatch/requests/body.py
@@ -6,7 +6,7 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
-from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import request as target_request
 
 # Bodies up to this size are received before a slot is taken, so that a slow
 # sender holds none, and they can be sent again by a retry.
@@ -26,15 +26,21 @@
         length: Declared length in bytes; -1 if not declared.
         read_part: Reads the next part; None after the last one.
         max_bytes: Largest body.
+        buffer_bytes: Largest body that is received before it is sent on.
     """
 
     def __init__(
-        self, length: int, read_part: ReadPart, max_bytes: int
+        self,
+        length: int,
+        read_part: ReadPart,
+        max_bytes: int,
+        buffer_bytes: int = SMALL_BODY_BYTES,
     ) -> None:
         self.length = length
         self.is_received = False
         self._read_part = read_part
         self._max_bytes = max_bytes
+        self._buffer_bytes = buffer_bytes
         self._parts: list[bytes] = []
         self._count = 0
         self._is_streamed = False
@@ -42,7 +48,7 @@
     @property
     def is_small(self) -> bool:
         """Whether the body has a known length that is buffered."""
-        return 0 <= self.length <= SMALL_BODY_BYTES
+        return 0 <= self.length <= self._buffer_bytes
 
     @property
     def is_bulk(self) -> bool:
@@ -70,9 +76,9 @@
         Returns:
             The failure of the sender, if any; then nothing was run.
         """
-        if self.length > SMALL_BODY_BYTES:
+        if self.length > self._buffer_bytes:
             return None
-        while not self.is_received and self._count <= SMALL_BODY_BYTES:
+        while not self.is_received and self._count <= self._buffer_bytes:
             part = await self._receive()
             if isinstance(part, outcome.Failure):
                 return outcome.Failure(
@@ -103,7 +109,7 @@
         while not self.is_received:
             part_or_end = await self._receive()
             if isinstance(part_or_end, outcome.Failure):
-                raise target_client.BodyInterrupted(part_or_end)
+                raise target_request.BodyInterrupted(part_or_end)
             if part_or_end:
                 yield part_or_end
 
--- /dev/null
+++ b/wigeonhatch/requests/edge.py
@@ -0,0 +1,267 @@
+"""ASGI application for requests that routes assign to services."""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import log
+from wigeonhatch import outcome
+from wigeonhatch.balance import picker as pickers
+from wigeonhatch.platform import edge
+from wigeonhatch.requests import _asgi
+from wigeonhatch.requests import _replies
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import model
+from wigeonhatch.requests import relay as relays
+from wigeonhatch.routes import table as tables
+
+_LOG = logging.getLogger(__name__)
+
+BUFFERED_BODY_BYTES = 1_048_576
+"""Bodies up to this size are received before a target gets a byte, so that a
+slow sender holds no slot and the request can be sent again."""
+DEFAULT_PATIENCE_MS = 10_000
+"""Patience of a caller that states none."""
+_CLOSE = (b'connection', b'close')
+_CLIENT_ERRORS = range(400, 500)
+
+OnFinished = collections.abc.Callable[[str, str, codes.ResultCode, int], None]
+"""Service, region that served it, result and time in ms."""
+
+
+class EdgeApplication:
+    """Callers' interface of a host on a platform.
+
+    Args:
+        routes: Routes in force.
+        relay: Runs requests.
+        region_of: Region of a target by its name.
+        on_finished: Receives the result of each request.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        routes: tables.RouteTable,
+        relay: relays.Relay,
+        region_of: collections.abc.Callable[[str], str],
+        on_finished: OnFinished,
+        clock: clocks.Clock,
+    ) -> None:
+        self.in_progress = 0
+        self.is_stopping = False
+        self.is_refusing = False
+        self._routes = routes
+        self._relay = relay
+        self._region_of = region_of
+        self._on_finished = on_finished
+        self._clock = clock
+
+    async def __call__(
+        self,
+        scope: _asgi.Scope,
+        receive: _asgi.Receive,
+        send: _asgi.Send,
+    ) -> None:
+        """Serve one request.
+
+        Args:
+            scope: ASGI scope.
+            receive: Receives the body.
+            send: Sends the response.
+        """
+        if scope['type'] != 'http':
+            return
+        self.in_progress += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(
+        self,
+        scope: _asgi.Scope,
+        receive: _asgi.Receive,
+        send: _asgi.Send,
+    ) -> None:
+        received_ms = self._clock.now_ms
+        reply = _asgi.AsgiReply(send, scope['method'] == 'HEAD')
+        control = model.RequestControl()
+        request = self._parse(scope, received_ms)
+        result: relays.Relayed | relays.Refused
+        if isinstance(request, outcome.Failure):
+            result = relays.Refused(request, pickers.MIN_RETURN_MS)
+        else:
+            result = await self._receive_and_run(
+                scope, receive, request, reply, control
+            )
+        if control.cause is not codes.ResultCode.CALLER_GONE:
+            await self._answer(reply, request, result)
+        self._report(request, result, received_ms)
+
+    async def _receive_and_run(
+        self,
+        scope: _asgi.Scope,
+        receive: _asgi.Receive,
+        request: relays.RelayRequest,
+        reply: _asgi.AsgiReply,
+        control: model.RequestControl,
+    ) -> relays.Relayed | relays.Refused:
+        config = self._routes.config
+        assert config is not None
+        limits = config.limits
+        length = _read_length(dict(scope['headers']))
+        if length > limits.max_body_bytes:
+            return _refuse(codes.ResultCode.BODY_TOO_LARGE)
+        caller = _asgi.CallerConnection(
+            receive, reply, control, limits.header_timeout_ms
+        )
+        body = bodies.RequestBody(
+            length,
+            caller.read_part,
+            limits.max_body_bytes,
+            BUFFERED_BODY_BYTES,
+        )
+        if length == 0:
+            body.is_received = True
+            caller.watch()
+        else:
+            failure = await body.buffer()
+            if failure is not None:
+                if failure.code is codes.ResultCode.CALLER_GONE:
+                    control.on_caller_gone()
+                return relays.Refused(failure, pickers.MIN_RETURN_MS)
+        try:
+            return await self._relay.run(request, body, control)
+        except Exception:
+            _LOG.exception(
+                'request failed', extra={'request_id': request.request_id}
+            )
+            return _refuse(codes.ResultCode.INTERNAL)
+
+    def _parse(
+        self, scope: _asgi.Scope, received_ms: int
+    ) -> relays.RelayRequest | outcome.Failure:
+        config = self._routes.config
+        if config is None or self.is_refusing:
+            return outcome.Failure(codes.ResultCode.NOT_READY)
+        by_name = dict(scope['headers'])
+        raw_path: bytes = scope['raw_path']
+        host_name: bytes = by_name.get(b'host', b'')
+        route = self._routes.find(
+            host_name.decode('ascii', 'replace'), raw_path.decode('latin-1')
+        )
+        if route is None:
+            return outcome.Failure(
+                codes.ResultCode.NOT_FOUND,
+                f'no route in version {config.version}',
+            )
+        said = edge.read_caller_fields(by_name)
+        patience_ms = said.patience_ms or DEFAULT_PATIENCE_MS
+        if route.timeout_ms:
+            patience_ms = min(patience_ms, route.timeout_ms)
+        path = raw_path
+        if scope['query_string']:
+            path += b'?' + scope['query_string']
+        return relays.RelayRequest(
+            request_id=said.request_id,
+            route=route,
+            service=self._routes.choose_service(route),
+            config_version=config.version,
+            method=scope['method'],
+            path=path,
+            host_name=host_name,
+            headers=fields.filter_request(scope['headers']),
+            affinity_key=said.affinity_key,
+            received_ms=received_ms,
+            end_ms=received_ms + patience_ms,
+        )
+
+    async def _answer(
+        self,
+        reply: _asgi.AsgiReply,
+        request: relays.RelayRequest | outcome.Failure,
+        result: relays.Relayed | relays.Refused,
+    ) -> None:
+        headers: list[tuple[bytes, bytes]]
+        if isinstance(result, relays.Relayed):
+            status, body = result.status, result.body
+            headers = [
+                *result.headers,
+                (b'content-length', b'%d' % len(body)),
+            ]
+        else:
+            request_id = (
+                request.request_id.decode('ascii', 'replace')
+                if isinstance(request, relays.RelayRequest)
+                else ''
+            )
+            _, headers, body = _replies.render_refusal(
+                result.failure, request_id
+            )
+            status = _status_of(result.failure)
+            if result.failure.ran is codes.Ran.NOT_RUN and status == 503:
+                headers.append(edge.return_header(result.return_ms))
+        if self.is_stopping:
+            headers.append(_CLOSE)
+        reply.is_finished = True
+        await reply.start(status, tuple(headers))
+        await reply.write(body, True)
+
+    def _report(
+        self,
+        request: relays.RelayRequest | outcome.Failure,
+        result: relays.Relayed | relays.Refused,
+        received_ms: int,
+    ) -> None:
+        took_ms = self._clock.now_ms - received_ms
+        service = region = request_id = route = ''
+        if isinstance(request, relays.RelayRequest):
+            service, route = request.service, request.route.name
+            request_id = request.request_id.decode('ascii', 'replace')
+        if isinstance(result, relays.Relayed):
+            region = self._region_of(result.target)
+            self._on_finished(service, region, codes.ResultCode.OK, took_ms)
+            return
+        failure = result.failure
+        self._on_finished(service, region, failure.code, took_ms)
+        config = self._routes.config
+        log.event(
+            _LOG,
+            'request refused',
+            request_id=request_id,
+            route=route,
+            config_version=0 if config is None else config.version,
+            service=service,
+            code=int(failure.code),
+            name=failure.code.name,
+            ran=failure.ran.value,
+            detail=failure.detail,
+            return_ms=result.return_ms,
+            took_ms=took_ms,
+        )
+
+
+def _refuse(code: codes.ResultCode) -> relays.Refused:
+    return relays.Refused(outcome.Failure(code), pickers.MIN_RETURN_MS)
+
+
+def _read_length(by_name: dict[bytes, bytes]) -> int:
+    if b'transfer-encoding' in by_name:
+        return -1
+    value = by_name.get(b'content-length', b'0')
+    return int(value) if value.isdigit() else 0
+
+
+def _status_of(failure: outcome.Failure) -> int:
+    """Choose a status that tells the truth on whether the request ran."""
+    status = failure.info.http_status
+    if failure.ran is codes.Ran.NOT_RUN:
+        return status if status in _CLIENT_ERRORS else 503
+    if status in (408, 429, 503):
+        return 502
+    return status
--- a/wigeonhatch/requests/forward_client.py
+++ b/wigeonhatch/requests/forward_client.py
@@ -21,7 +21,7 @@
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import model
-from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import request as target_request
 
 LOG = logging.getLogger(__name__)
 
@@ -355,7 +355,7 @@
             await stream.send_message(
                 peers_pb2.ForwardRequest(end=True), end=True
             )
-        except target_client.BodyInterrupted as error:
+        except target_request.BodyInterrupted as error:
             return dataclasses.replace(
                 error.failure, ran_override=codes.Ran.UNKNOWN
             )
--- /dev/null
+++ b/wigeonhatch/requests/relay.py
@@ -0,0 +1,467 @@
+"""Relay one request to a target, with retries, and buffer its response."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import logging
+
+import anyio
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import log
+from wigeonhatch import outcome
+from wigeonhatch.balance import ejection
+from wigeonhatch.balance import loads
+from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import warmup
+from wigeonhatch.platform import edge
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.requests import model
+from wigeonhatch.requests import retry
+from wigeonhatch.routes import model as routes
+from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import registry
+from wigeonhatch.targets import request as target_request
+from wigeonhatch.targets import response as target_response
+
+_LOG = logging.getLogger(__name__)
+
+MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+"""Responses up to this size are complete before the caller gets a byte, so
+that one that breaks off can be replaced."""
+MIN_ATTEMPT_MS = 20
+"""Time below which no request is sent; a round trip takes up to 90 ms."""
+PATIENCE_FACTOR = 4.0
+"""Usual times of a request after which an idempotent one is sent again."""
+MIN_PATIENCE_MS = 400.0
+"""Shortest time until a request is sent again."""
+MAX_SKIPS = 3
+"""Targets that may be skipped because no connection could be opened."""
+_MISDIRECTED = 421
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Checked head of a request.
+
+    Args:
+        request_id: Identity of this attempt of the caller.
+        route: Route of the request.
+        service: Service that runs it.
+        config_version: Version of the configuration that selected both.
+        method: HTTP method.
+        path: Path with query, as the caller sent it.
+        host_name: Value of the `Host` field.
+        headers: End-to-end header fields, names in lower case.
+        affinity_key: Object of the request; empty for none.
+        received_ms: Time of the head on the monotonic clock in ms.
+        end_ms: End of the request on the monotonic clock in ms.
+    """
+
+    request_id: bytes
+    route: routes.Route
+    service: str
+    config_version: int
+    method: str
+    path: bytes
+    host_name: bytes
+    headers: fields.HeaderTuple
+    affinity_key: bytes
+    received_ms: int
+    end_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relayed:
+    """Complete response of a target.
+
+    Args:
+        status: HTTP status.
+        headers: Header fields for the caller, without the length.
+        body: The whole body.
+        target: Name of the target.
+    """
+
+    status: int
+    headers: fields.HeaderTuple
+    body: bytes
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """No target serves the request.
+
+    Args:
+        failure: Why, and whether the request may have run.
+        return_ms: Time after which the caller may return in ms.
+    """
+
+    failure: outcome.Failure
+    return_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one request have shown so far."""
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    skips: int = 0
+    may_have_run: bool = False
+    failure: outcome.Failure | None = None
+    response: Relayed | None = None
+
+
+class Relay:
+    """Send requests to targets.
+
+    Args:
+        picker: Chooses the target of each attempt.
+        load_table: Requests in progress.
+        ejections: Targets that fail.
+        warmups: Rate of cold targets.
+        targets: Listed targets.
+        client: Client of the targets.
+        budgets: Makes the retry budget of a service.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        picker: pickers.Picker,
+        load_table: loads.LoadTable,
+        ejections: ejection.EjectionTable,
+        warmups: warmup.WarmupBudget,
+        targets: registry.TargetRegistry,
+        client: target_client.TargetClient,
+        budgets: collections.abc.Callable[[], retry.RetryBudget],
+        clock: clocks.Clock,
+    ) -> None:
+        self._picker = picker
+        self._loads = load_table
+        self._ejections = ejections
+        self._warmups = warmups
+        self._targets = targets
+        self._client = client
+        self._clock = clock
+        self._budget_by_service: dict[str, retry.RetryBudget] = (
+            collections.defaultdict(budgets)
+        )
+
+    async def run(
+        self,
+        request: RelayRequest,
+        body: bodies.RequestBody,
+        control: model.RequestControl,
+    ) -> Relayed | Refused:
+        """Run a request until a target has answered it or none can.
+
+        Args:
+            request: Checked head.
+            body: Body of the request.
+            control: Cancels the attempt when the caller has gone.
+        """
+        progress = _Progress()
+        self._budget_by_service[request.service].on_request()
+        while True:
+            if control.cause is not None:
+                return self._refuse(progress, codes.ResultCode.CALLER_GONE)
+            left_ms = request.end_ms - self._clock.now_ms
+            if left_ms < MIN_ATTEMPT_MS:
+                return self._refuse(
+                    progress, codes.ResultCode.DEADLINE_EXCEEDED
+                )
+            if progress.failure is not None and not self._may_repeat(
+                request, progress, body
+            ):
+                return self._refuse(progress, progress.failure.code)
+            picked = self._picker.pick(
+                _build_query(request, left_ms), progress.tried
+            )
+            if isinstance(picked, pickers.NoTarget):
+                return self._refuse(
+                    progress,
+                    codes.ResultCode.NO_CAPACITY,
+                    picked.reason,
+                    picked.return_ms,
+                )
+            result = await self._attempt(
+                request, body, control, picked, progress
+            )
+            if isinstance(result, Relayed):
+                return result
+
+    def _may_repeat(
+        self,
+        request: RelayRequest,
+        progress: _Progress,
+        body: bodies.RequestBody,
+    ) -> bool:
+        """Decide whether another target may get the request."""
+        failure = progress.failure
+        assert failure is not None
+        is_repeatable = request.route.is_idempotent or not (
+            progress.may_have_run
+        )
+        if not is_repeatable or not body.is_available:
+            return False
+        if failure.code is codes.ResultCode.TARGET_CONNECT_FAILED:
+            progress.skips += 1
+            return progress.skips <= MAX_SKIPS
+        if progress.sends >= request.route.max_attempts:
+            return False
+        return self._budget_by_service[request.service].take()
+
+    async def _attempt(
+        self,
+        request: RelayRequest,
+        body: bodies.RequestBody,
+        control: model.RequestControl,
+        target: registry.TargetRecord,
+        progress: _Progress,
+    ) -> Relayed | None:
+        name = target.name
+        is_cold = self._targets.is_cold(name)
+        if is_cold:
+            self._warmups.take(name)
+        progress.tried.add(name)
+        load = self._loads.in_progress(name)
+        started_ms = self._clock.now_ms
+        self._loads.start(name)
+        self._ejections.on_start(name)
+        result: Relayed | outcome.Failure | None = None
+        limit_ms = self._limit_ms(request, progress, body, started_ms)
+        try:
+            with anyio.CancelScope() as scope:
+                control.enter(scope)
+                result = await self._exchange(request, body, target, limit_ms)
+            cause = control.leave()
+        finally:
+            self._loads.finish(name)
+            if result is None:
+                self._ejections.on_end(name)
+        took_ms = self._clock.now_ms - started_ms
+        if result is None:
+            code = cause or codes.ResultCode.CALLER_GONE
+            result = outcome.Failure(code, ran_override=codes.Ran.UNKNOWN)
+        self._judge(request, target, result, load, took_ms)
+        log.event(
+            _LOG,
+            'attempt',
+            request_id=request.request_id.decode('ascii', 'replace'),
+            target=name,
+            load=load,
+            slots=target.slots,
+            cold=is_cold,
+            left_ms=request.end_ms - started_ms,
+            took_ms=took_ms,
+            result=(
+                result.status
+                if isinstance(result, Relayed)
+                else f'{result.code.name}: {result.detail}'
+            ),
+        )
+        return self._settle(request, result, progress)
+
+    def _settle(
+        self,
+        request: RelayRequest,
+        result: Relayed | outcome.Failure,
+        progress: _Progress,
+    ) -> Relayed | None:
+        """Keep the result of an attempt; return it if it is final."""
+        if isinstance(result, outcome.Failure):
+            progress.failure = result
+            if result.code is not codes.ResultCode.TARGET_CONNECT_FAILED:
+                progress.sends += 1
+            if result.ran is not codes.Ran.NOT_RUN:
+                progress.may_have_run = True
+            return None
+        progress.sends += 1
+        progress.may_have_run = True
+        if (
+            result.status >= _SERVER_ERROR
+            and request.route.is_idempotent
+            and progress.response is None
+            and progress.sends < request.route.max_attempts
+        ):
+            # Kept, and delivered if no other target does better.
+            progress.response = result
+            progress.failure = outcome.Failure(
+                codes.ResultCode.RESPONSE_INCOMPLETE, f'status {result.status}'
+            )
+            return None
+        return result
+
+    def _limit_ms(
+        self,
+        request: RelayRequest,
+        progress: _Progress,
+        body: bodies.RequestBody,
+        now_ms: int,
+    ) -> int:
+        """End of an attempt on the monotonic clock in ms."""
+        is_last = progress.sends + 1 >= request.route.max_attempts
+        if is_last or not request.route.is_idempotent or not body.is_available:
+            return request.end_ms
+        usual_ms = self._loads.duration_ms(
+            request.service, pickers.DEFAULT_DURATION_MS
+        )
+        patience_ms = max(MIN_PATIENCE_MS, PATIENCE_FACTOR * usual_ms)
+        return min(request.end_ms, now_ms + int(patience_ms))
+
+    async def _exchange(
+        self,
+        request: RelayRequest,
+        body: bodies.RequestBody,
+        target: registry.TargetRecord,
+        limit_ms: int,
+    ) -> Relayed | outcome.Failure:
+        left_ms = request.end_ms - self._clock.now_ms
+        head = target_request.RequestHead(
+            request.method,
+            request.path,
+            edge.attempt_headers(request.headers, target.name, left_ms),
+            body.length,
+            request.host_name,
+        )
+        sent = await self._client.send(
+            target.name, head, body.outgoing(), limit_ms
+        )
+        if isinstance(sent, outcome.Failure):
+            return sent
+        response = sent.value
+        said = edge.read_target_fields(response.headers)
+        if said.request_id != request.request_id:
+            await response.close()
+            return outcome.Failure(
+                codes.ResultCode.TARGET_PROTOCOL,
+                'the response belongs to another request',
+                codes.Ran.UNKNOWN,
+            )
+        if said.warmup_left_ms:
+            self._targets.on_warmup_report(target.name, said.warmup_left_ms)
+        if said.is_not_run or response.status == _MISDIRECTED:
+            await response.discard()
+            return outcome.Failure(
+                codes.ResultCode.TARGET_SHED,
+                f'status {response.status}, load {said.load}',
+                codes.Ran.NOT_RUN,
+            )
+        return await _read_whole(response, said, target.name)
+
+    def _judge(
+        self,
+        request: RelayRequest,
+        target: registry.TargetRecord,
+        result: Relayed | outcome.Failure,
+        load: int,
+        took_ms: int,
+    ) -> None:
+        """Tell the balance what an attempt shows of its target."""
+        name = target.name
+        if isinstance(result, Relayed):
+            if result.status >= _SERVER_ERROR:
+                self._ejections.on_failure(name, f'status {result.status}')
+            else:
+                self._ejections.on_success(name)
+                self._loads.on_served(request.service, took_ms)
+            return
+        if result.code is codes.ResultCode.CALLER_GONE:
+            self._ejections.on_end(name)
+        elif result.code is codes.ResultCode.TARGET_SHED and (
+            load >= target.slots
+        ):
+            # A full target rightly refuses.
+            self._ejections.on_end(name)
+        else:
+            self._ejections.on_failure(name, result.code.name)
+            if result.code in _SILENT_CODES:
+                self._client.drop_idle(name)
+
+    def _refuse(
+        self,
+        progress: _Progress,
+        code: codes.ResultCode,
+        detail: str = '',
+        return_ms: int = pickers.MIN_RETURN_MS,
+    ) -> Relayed | Refused:
+        if progress.response is not None:
+            return progress.response
+        failure = progress.failure
+        if failure is None or progress.may_have_run is False:
+            failure = outcome.Failure(
+                code,
+                detail or (failure.detail if failure else ''),
+                codes.Ran.NOT_RUN,
+            )
+        elif failure.ran is codes.Ran.NOT_RUN:
+            failure = dataclasses.replace(
+                failure, ran_override=codes.Ran.UNKNOWN
+            )
+        return Refused(failure, return_ms)
+
+
+_SILENT_CODES = frozenset(
+    {
+        codes.ResultCode.TARGET_TIMEOUT,
+        codes.ResultCode.DEADLINE_EXCEEDED_RUNNING,
+        codes.ResultCode.TARGET_LOST,
+    }
+)
+
+
+def _build_query(request: RelayRequest, left_ms: int) -> pickers.Query:
+    waited_ms = request.end_ms - left_ms - request.received_ms
+    useful_ms = request.route.objective_ms or left_ms
+    return pickers.Query(
+        request.service,
+        request.affinity_key if request.route.has_affinity else b'',
+        request.route.home_regions,
+        max(0.0, min(left_ms, useful_ms) - waited_ms),
+    )
+
+
+async def _read_whole(
+    response: target_response.TargetResponse,
+    said: edge.TargetFields,
+    target: str,
+) -> Relayed | outcome.Failure:
+    is_success = 200 <= response.status < 300
+    if is_success and not said.is_signed:
+        await response.close()
+        return outcome.Failure(
+            codes.ResultCode.TARGET_PROTOCOL,
+            'the response is not signed',
+            codes.Ran.UNKNOWN,
+        )
+    if fields.find(response.headers, b'content-encoding') is not None:
+        await response.close()
+        return outcome.Failure(
+            codes.ResultCode.TARGET_PROTOCOL,
+            'the body is encoded',
+            codes.Ran.RAN,
+        )
+    parts: list[bytes] = []
+    size = 0
+    while (part := await response.read()) is not None:
+        if isinstance(part, outcome.Failure):
+            return part
+        parts.append(part)
+        size += len(part)
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            await response.close()
+            return outcome.Failure(
+                codes.ResultCode.RESPONSE_INCOMPLETE,
+                f'longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes',
+            )
+    headers = tuple(
+        item for item in response.headers if item[0] != b'content-length'
+    )
+    return Relayed(response.status, headers, b''.join(parts), target)
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -12,6 +12,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch import settings
+from wigeonhatch.requests import _asgi
 from wigeonhatch.requests import _head
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import application as applications
@@ -86,9 +87,7 @@
         scope: dict[str, typing.Any] = typing.cast(
             'dict[str, typing.Any]', self.scope
         )
-        scope['extensions'] = {
-            applications.ABORT_EXTENSION: self.transport.abort
-        }
+        scope['extensions'] = {_asgi.ABORT_EXTENSION: self.transport.abort}
 
     def on_headers_complete(self) -> None:
         """Stop the timer of the head."""
--- /dev/null
+++ b/wigeonhatch/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of callers' requests to services."""
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -12,6 +12,7 @@
 import collections
 import collections.abc
 import select
+import socket
 import typing
 
 import httpcore
@@ -20,6 +21,11 @@
 _LOW_WATER_BYTES = 64 * 1024
 # A target that has responded and does not read on will not read the rest.
 _EARLY_RESPONSE_WAIT_S = 1.0
+# A connection that went silent ends after about 2 s, while the longest round
+# trip is below 100 ms.
+_KEEPALIVE_S = 1
+_KEEPALIVE_PROBES = 2
+_USER_TIMEOUT_MS = 2_000
 
 
 class TargetStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
@@ -39,6 +45,7 @@
         self._received: collections.deque[bytes] = collections.deque()
         self._received_bytes = 0
         self._is_ended = False
+        self._is_reset = False
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._reader: asyncio.Future[bool] | None = None
@@ -47,6 +54,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = typing.cast('asyncio.Transport', transport)
+        _detect_silence(transport.get_extra_info('socket'))
         self._poll.register(
             transport.get_extra_info('socket').fileno(), select.POLLIN
         )
@@ -74,6 +82,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake up waiting tasks."""
+        self._is_reset = self._is_reset or exc is not None
         self._is_ended = True
         _wake(self._reader)
         _wake(self._writer)
@@ -98,6 +107,10 @@
 
         Returns:
             At least one byte, or no bytes after the end.
+
+        Raises:
+            httpcore.ReadError: The connection was reset.
+            httpcore.ReadTimeout: Nothing arrived in time.
         """
         if not self._received and not self._is_ended:
             self._reader = self._loop.create_future()
@@ -107,6 +120,9 @@
             finally:
                 self._reader = None
         if not self._received:
+            # A response without a length must not seem to end here.
+            if self._is_reset:
+                raise httpcore.ReadError('the connection was reset')
             return b''
         data = self._received.popleft()
         if len(data) > max_bytes:
@@ -187,6 +203,17 @@
             timer.cancel()
 
 
+def _detect_silence(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _settle(future: asyncio.Future[bool], is_woken: bool) -> None:
     if not future.done():
         future.set_result(is_woken)
--- a/wigeonhatch/targets/health.py
+++ b/wigeonhatch/targets/health.py
@@ -15,6 +15,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import request as target_request
 
 PROBE_INTERVAL_MS = 1_000
 PROBE_DEADLINE_MS = 500
@@ -48,7 +49,7 @@
 HealthResult = outcome.Success[HealthReport] | outcome.Failure
 OnHealth = collections.abc.Callable[[str, HealthResult], None]
 
-_HEAD = target_client.RequestHead('GET', b'/health', (), 0)
+_HEAD = target_request.RequestHead('GET', b'/health', (), 0)
 
 
 class HealthMonitor:
--- /dev/null
+++ b/wigeonhatch/targets/registry.py
@@ -0,0 +1,197 @@
+"""Targets that the platform lists, and what is known of their state."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import logging
+
+from wigeonhatch import clock as clocks
+from wigeonhatch import log
+from wigeonhatch.routes import model
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """One target as the platform lists it.
+
+    Args:
+        name: Name of the target, unique over all services.
+        service: Name of its service.
+        address: `IP:PORT`.
+        domain: Failure domain.
+        slots: Requests that it processes at a time.
+        is_draining: Whether it takes no new requests.
+        warmup_left_ms: Time for which it stays cold.
+        started_ms: Start of the process, ms since the Unix epoch; 0 if not
+            known. A change means a new incarnation under the same name.
+    """
+
+    name: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    is_draining: bool
+    warmup_left_ms: int
+    started_ms: int
+
+
+class TargetRegistry:
+    """Targets by name, with the failure domains that are evacuated.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.record_by_name: dict[str, TargetRecord] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.epoch = 0
+        self._clock = clock
+        self._cold_until_by_name: dict[str, int] = {}
+        self._usable_by_service: dict[str, tuple[TargetRecord, ...]] = {}
+        self._service_by_name: dict[str, model.ServiceTraits] = {}
+        self._is_loaded = False
+
+    def set_services(
+        self, service_by_name: dict[str, model.ServiceTraits]
+    ) -> None:
+        """Take over what the targets of each service have in common."""
+        self._service_by_name = service_by_name
+
+    def replace(self, records: collections.abc.Iterable[TargetRecord]) -> None:
+        """Replace the whole list.
+
+        Args:
+            records: All targets that the platform lists.
+        """
+        by_name = {record.name: record for record in records}
+        for name in self.record_by_name.keys() - by_name.keys():
+            self._remove(name)
+        for record in by_name.values():
+            self._put(record)
+        self._is_loaded = True
+        self._rebuild()
+
+    def update(
+        self,
+        changed: collections.abc.Iterable[TargetRecord],
+        removed: collections.abc.Iterable[str],
+    ) -> None:
+        """Apply changes of the list.
+
+        Args:
+            changed: Targets that are new or differ.
+            removed: Names of targets that have gone.
+        """
+        for record in changed:
+            self._put(record)
+        for name in removed:
+            self._remove(name)
+        self._rebuild()
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Stop the use of all targets of some failure domains.
+
+        Args:
+            domains: All domains that are evacuated now.
+        """
+        returned = self.evacuated - domains
+        if domains == self.evacuated:
+            return
+        self.evacuated = domains
+        for record in self.record_by_name.values():
+            if record.domain in returned:
+                self._set_cold(record.name, self._warmup_ms(record))
+        log.event(_LOG, 'evacuation', domains=sorted(domains))
+        self._rebuild()
+
+    def usable(self, service: str) -> tuple[TargetRecord, ...]:
+        """Targets of a service that may receive new requests.
+
+        Args:
+            service: Name of the service.
+        """
+        return self._usable_by_service.get(service, ())
+
+    def is_usable(self, record: TargetRecord) -> bool:
+        """Tell whether a target is still listed in the same incarnation."""
+        current = self.record_by_name.get(record.name)
+        return (
+            current is not None
+            and current.started_ms == record.started_ms
+            and not current.is_draining
+            and current.domain not in self.evacuated
+        )
+
+    def is_cold(self, name: str) -> bool:
+        """Tell whether a target tolerates only a low rate of requests.
+
+        Args:
+            name: Name of the target.
+        """
+        until_ms = self._cold_until_by_name.get(name)
+        if until_ms is None:
+            return False
+        if self._clock.now_ms < until_ms:
+            return True
+        del self._cold_until_by_name[name]
+        return False
+
+    def on_warmup_report(self, name: str, left_ms: int) -> None:
+        """Take over what a target says of its warm-up.
+
+        Args:
+            name: Name of the target.
+            left_ms: Time for which it stays cold.
+        """
+        if left_ms > 0 and name in self.record_by_name:
+            self._set_cold(name, left_ms)
+
+    def _put(self, record: TargetRecord) -> None:
+        known = self.record_by_name.get(record.name)
+        if known == record:
+            return
+        self.record_by_name[record.name] = record
+        is_new = known is None or known.started_ms != record.started_ms
+        if record.warmup_left_ms > 0:
+            self._set_cold(record.name, record.warmup_left_ms)
+        elif is_new and self._is_loaded:
+            # The report of the warm-up may not have arrived yet.
+            self._set_cold(record.name, self._warmup_ms(record))
+        log.event(
+            _LOG,
+            'target changed',
+            target=record.name,
+            service=record.service,
+            draining=record.is_draining,
+            incarnation=record.started_ms,
+        )
+
+    def _remove(self, name: str) -> None:
+        if self.record_by_name.pop(name, None) is not None:
+            self._cold_until_by_name.pop(name, None)
+            log.event(_LOG, 'target removed', target=name)
+
+    def _set_cold(self, name: str, left_ms: int) -> None:
+        until_ms = self._clock.now_ms + left_ms
+        self._cold_until_by_name[name] = max(
+            until_ms, self._cold_until_by_name.get(name, 0)
+        )
+
+    def _warmup_ms(self, record: TargetRecord) -> int:
+        traits = self._service_by_name.get(record.service)
+        return 0 if traits is None else traits.warmup_ms
+
+    def _rebuild(self) -> None:
+        by_service: dict[str, list[TargetRecord]] = {}
+        for record in self.record_by_name.values():
+            if not record.is_draining and record.domain not in self.evacuated:
+                by_service.setdefault(record.service, []).append(record)
+        self._usable_by_service = {
+            service: tuple(records) for service, records in by_service.items()
+        }
+        self.epoch += 1
--- /dev/null
+++ b/wigeonhatch/targets/response.py
@@ -0,0 +1,192 @@
+"""Responses of targets."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import httpcore
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.targets import request
+
+# Longest silence within a response body or while the target reads nothing.
+MAX_GAP_MS = 10_000
+_DISCARD_LIMIT_BYTES = 4_096
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class TargetResponse:
+    """Response of a target whose body is still to be read.
+
+    Args:
+        status: HTTP status.
+        headers: Header fields for the caller, names in lower case.
+        length: Length of the body in bytes; None if it is chunked.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        headers: fields.HeaderTuple,
+        length: int | None,
+        says_not_run: bool,
+        stream: typing.Any,
+        on_end: collections.abc.Callable[[bool], None],
+        is_expired: collections.abc.Callable[[], bool],
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.length = length
+        self.is_complete = False
+        self._says_not_run = says_not_run
+        self._stream = stream
+        self._parts = stream.__aiter__()
+        self._count = 0
+        self._is_ended = False
+        self._on_end = on_end
+        self._is_expired = is_expired
+
+    @property
+    def is_shed(self) -> bool:
+        """Whether the target refused the request without running it."""
+        return self._says_not_run and self.status == 503
+
+    async def read(self) -> bytes | None | outcome.Failure:
+        """Read the next part of the body.
+
+        Returns:
+            A part; None after the last one, when the body is complete and
+            has its declared length; a failure if it is not.
+        """
+        if self._is_ended:
+            if self.is_complete:
+                return None
+            return outcome.Failure(codes.ResultCode.RESPONSE_INCOMPLETE)
+        try:
+            while True:
+                part: bytes | None = await anext(self._parts, None)
+                if part is None:
+                    return await self._finish()
+                if part:
+                    break
+            self._count += len(part)
+            # The end is taken together with the last part, so that the slot
+            # does not wait for a caller that reads slowly.
+            if self._count == self.length:
+                if await anext(self._parts, None) is not None:
+                    return self._fail('longer than declared')
+                failure = await self._finish()
+                if failure is not None:
+                    return failure
+            return part
+        except httpcore.TimeoutException:
+            if self._is_expired():
+                self._on_end(False)
+                self._is_ended = True
+                return outcome.Failure(
+                    codes.ResultCode.DEADLINE_EXCEEDED_RUNNING
+                )
+            return self._fail(f'no part for {MAX_GAP_MS} ms')
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self._fail(str(error))
+        except BaseException:
+            self._is_ended = True
+            self._on_end(False)
+            raise
+
+    async def close(self) -> None:
+        """Give up the rest of the body and the connection with it."""
+        if not self._is_ended:
+            self._is_ended = True
+            try:
+                await self._parts.aclose()
+                await self._stream.aclose()
+            finally:
+                self._on_end(False)
+
+    async def discard(self) -> None:
+        """Read a short rest of the body, or else close the connection."""
+        limit = _DISCARD_LIMIT_BYTES
+        if self.length is not None and self.length <= limit:
+            while isinstance(await self.read(), bytes):
+                pass
+        await self.close()
+
+    async def _finish(self) -> outcome.Failure | None:
+        if self.length is not None and self._count != self.length:
+            return self._fail(f'{self._count} of {self.length} bytes')
+        await self._stream.aclose()
+        self._is_ended = True
+        self.is_complete = True
+        self._on_end(True)
+        return None
+
+    def _fail(self, detail: str) -> outcome.Failure:
+        self._is_ended = True
+        self._on_end(False)
+        return outcome.Failure(codes.ResultCode.RESPONSE_INCOMPLETE, detail)
+
+
+async def accept_response(
+    head: request.RequestHead,
+    response: httpcore.Response,
+    on_end: collections.abc.Callable[[bool], None],
+    is_expired: collections.abc.Callable[[], bool],
+    accepts_unframed: bool,
+) -> outcome.Success[TargetResponse] | outcome.Failure:
+    """Check the head of a response.
+
+    Args:
+        head: Head of the request.
+        response: Response whose body is still to be read.
+        on_end: Called once with whether the connection may be reused.
+        is_expired: Tells whether the deadline of the request has passed.
+        accepts_unframed: Whether the end of the connection may end the body.
+    """
+    length: int | None = None
+    is_chunked = False
+    says_not_run = False
+    for raw_name, value in response.headers:
+        name = raw_name.lower()
+        if name == b'content-length':
+            length = int(value)
+        elif name == b'transfer-encoding':
+            is_chunked = True
+        elif name == fields.RAN:
+            says_not_run = value.strip().lower() == fields.NOT_RUN_VALUE
+    is_bodyless = (
+        head.method == 'HEAD' or response.status in _BODYLESS_STATUSES
+    )
+    headers = fields.filter_response(response.headers)
+    if response.status in _BODYLESS_STATUSES:
+        headers = tuple(h for h in headers if h[0] != b'content-length')
+    has_no_end = length is None and not is_chunked
+    is_malformed = not is_bodyless and (
+        (length is not None and is_chunked)
+        or (has_no_end and not accepts_unframed)
+    )
+    accepted = TargetResponse(
+        response.status,
+        headers,
+        0 if is_bodyless else length,
+        says_not_run,
+        response.stream,
+        on_end,
+        is_expired,
+    )
+    if is_malformed or not 200 <= response.status < 600:
+        # Without a declared length, a lost connection looks like the end.
+        await accepted.close()
+        return outcome.Failure(
+            codes.ResultCode.TARGET_PROTOCOL,
+            f'status {response.status} without one length of the body',
+            codes.Ran.RAN if response.status >= 200 else None,
+        )
+    if accepted.length == 0:
+        failure = await accepted.read()
+        if isinstance(failure, outcome.Failure):
+            return failure
+    return outcome.Success(accepted)
