Keep objects at their home targets under load

Ruled out: processor time (0.13 cores a host); decay of readiness with time (requests within 6 s of the last one of the same object are fast).

Conclusion: under load a request waits at a home target or is refused at once.

--- a/wigeonhatch/balance/loads.py
+++ b/wigeonhatch/balance/loads.py
@@ -9,6 +9,8 @@
 
 REPORT_LIFE_MS = 2_000
 """Age at which a peer's counts are dropped; ten intervals of its reports."""
+DEFAULT_DURATION_MS = 300.0
+"""Assumed time of a request while none has been served."""
 _SMOOTHING = 0.1
 """Weight of the newest duration; about the last ten responses count."""
 
@@ -25,7 +27,7 @@
         self._own_by_target: collections.Counter[str] = collections.Counter()
         self._peer_by_target: collections.Counter[str] = collections.Counter()
         self._report_by_host: dict[str, tuple[int, dict[str, int]]] = {}
-        self._duration_by_service: dict[str, float] = {}
+        self._duration_by_place: dict[tuple[str, bool], float] = {}
 
     def start(self, target: str) -> None:
         """Count a request that is sent to a target."""
@@ -38,28 +40,33 @@
         else:
             self._own_by_target[target] -= 1
 
-    def on_served(self, service: str, took_ms: int) -> None:
-        """Learn how long a request of a service takes.
+    def on_served(self, service: str, is_home: bool, took_ms: int) -> None:
+        """Learn how long a request of a service takes without a queue.
 
         Args:
             service: Name of the service.
+            is_home: Whether the target usually handles the object.
             took_ms: Time from the request to the whole response in ms.
         """
-        known = self._duration_by_service.get(service)
-        self._duration_by_service[service] = (
+        key = (service, is_home)
+        known = self._duration_by_place.get(key)
+        self._duration_by_place[key] = (
             took_ms
             if known is None
             else known + _SMOOTHING * (took_ms - known)
         )
 
-    def duration_ms(self, service: str, default_ms: float) -> float:
-        """Smoothed time of a request of a service in ms.
+    def duration_ms(self, service: str, is_home: bool) -> float:
+        """Smoothed time of a request of a service without a queue in ms.
 
         Args:
             service: Name of the service.
-            default_ms: Result while nothing is known.
+            is_home: Whether the target usually handles the object.
         """
-        return self._duration_by_service.get(service, default_ms)
+        known = self._duration_by_place.get((service, is_home))
+        if known is None:
+            known = self._duration_by_place.get((service, not is_home))
+        return DEFAULT_DURATION_MS if known is None else known
 
     def in_progress(self, target: str) -> int:
         """Requests of all hosts in progress at a target."""
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -11,6 +11,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import objects
 from wigeonhatch.balance import region_split
 from wigeonhatch.balance import warmup
 from wigeonhatch.routes import model
@@ -20,8 +21,9 @@
 """Weight of the newest count of busy slots; about the last 1.5 s count."""
 _MAX_RANKINGS = 4_096
 """Cached orders of targets; services x objects x regions at today's sizes."""
-DEFAULT_DURATION_MS = 300.0
-"""Assumed time of a request while none has been served."""
+MAX_LOAD_AWAY = 0.5
+"""Load of a region's targets up to which objects leave their home targets;
+a request away from home takes about three times as long."""
 MIN_RETURN_MS = 200
 """Shortest delay after which a refused caller may return."""
 MAX_RETURN_MS = 2_000
@@ -45,6 +47,21 @@
     wait_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pick:
+    """Target of one attempt.
+
+    Args:
+        target: The target.
+        wait_ms: Expected wait for a slot in ms.
+        is_home: Whether the target usually handles the object.
+    """
+
+    target: registry.TargetRecord
+    wait_ms: float
+    is_home: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoTarget:
     """No target can serve the request in time.
@@ -94,7 +111,8 @@
         self._service_by_name: dict[str, model.ServiceTraits] = {}
         self._split_by_service: dict[str, region_split.RegionSplit] = {}
         self._busy_by_service: dict[str, dict[str, float]] = {}
-        self._rank = functools.lru_cache(_MAX_RANKINGS)(self._rank_targets)
+        self._objects = objects.ObjectCounter(clock)
+        self._ranking = functools.lru_cache(_MAX_RANKINGS)(self._rank_targets)
 
     def configure(
         self, service_by_name: dict[str, model.ServiceTraits]
@@ -110,7 +128,7 @@
 
     def pick(
         self, query: Query, excluded: collections.abc.Set[str]
-    ) -> registry.TargetRecord | NoTarget:
+    ) -> Pick | NoTarget:
         """Choose the target of one attempt.
 
         Args:
@@ -125,29 +143,24 @@
             regions &= query.home_regions
         if not regions:
             return NoTarget('no usable target', MIN_RETURN_MS)
-        split = self._split(query.service)
-        region = split.choose(regions) or min(regions)
-        order = [region, *sorted(regions - {region}, key=self._is_remote)]
-        fallback: tuple[float, registry.TargetRecord] | None = None
-        for candidate_region in order:
-            found = self._pick_in(candidate_region, query, excluded)
-            if isinstance(found, registry.TargetRecord):
+        self._objects.note(query.service, query.affinity_key)
+        chosen = self._split(query.service).choose(regions, query.affinity_key)
+        order = sorted(regions, key=lambda region: self._rank(region, chosen))
+        best: Pick | None = None
+        for region in order:
+            found = self._pick_in(region, query, excluded)
+            if found is None:
+                continue
+            if found.wait_ms <= query.wait_ms:
                 return found
-            if found is not None and (
-                fallback is None or found[0] < fallback[0]
-            ):
-                fallback = found
-        if fallback is None:
+            if best is None or found.wait_ms < best.wait_ms:
+                best = found
+        if best is None:
             return NoTarget('all targets fail or are cold', MIN_RETURN_MS)
-        duration_ms = self._loads.duration_ms(
-            query.service, DEFAULT_DURATION_MS
+        return NoTarget(
+            f'wait of {best.wait_ms:.0f} ms, useful are {query.wait_ms:.0f}',
+            _return_ms(best.wait_ms, query.wait_ms),
         )
-        wait_ms = fallback[0] * duration_ms
-        if wait_ms > query.wait_ms:
-            return NoTarget(
-                f'wait of {wait_ms:.0f} ms', _return_ms(wait_ms, query.wait_ms)
-            )
-        return fallback[1]
 
     def adjust_splits(self, region_by_host: dict[str, str]) -> None:
         """Move the splits of all services one step towards their plans.
@@ -156,6 +169,7 @@
             region_by_host: Region of each host that may report loads.
         """
         self._loads.expire()
+        self._objects.expire()
         busy = self._count_busy(region_by_host)
         for service in self._service_by_name:
             slots_by_region: dict[str, int] = {}
@@ -208,27 +222,55 @@
             )
         return split
 
-    def _is_remote(self, region: str) -> bool:
-        return region != self._own_region
+    def _rank(self, region: str, chosen: str | None) -> tuple[bool, bool, str]:
+        return region != chosen, region != self._own_region, region
 
     def _pick_in(
         self,
         region: str,
         query: Query,
         excluded: collections.abc.Set[str],
-    ) -> registry.TargetRecord | tuple[float, registry.TargetRecord] | None:
-        """Choose the first target with a free slot, else the least loaded.
+    ) -> Pick | None:
+        """Choose the target of a region that answers first.
 
-        Returns:
-            The target; or the shortest wait in durations of a request and
-            its target; or None.
+        The first targets in the order of an object are its home: they
+        handle it often and faster, so that a short wait at one of them is
+        better than a free slot elsewhere.
         """
         traits = self._service_by_name.get(query.service)
         per_s = 0.0 if traits is None else traits.warmup_per_s
-        best: tuple[float, registry.TargetRecord] | None = None
-        for record in self._rank(
+        ranking = self._ranking(
             query.service, region, query.affinity_key, self._targets.epoch
-        ):
+        )
+        home_size = self._objects.home_size(query.service, len(ranking))
+        home_ms = self._loads.duration_ms(query.service, True)
+        away_ms = max(home_ms, self._loads.duration_ms(query.service, False))
+        best: Pick | None = None
+        best_key = (True, float('inf'))
+        available = self._available(ranking, excluded, per_s)
+        for rank, record in enumerate(available):
+            is_home = rank < home_size
+            if not is_home and rank == home_size and self._is_busy(ranking):
+                break
+            count = self._loads.in_progress(record.name)
+            queued = max(0, count + 1 - record.slots)
+            wait_ms = queued / record.slots * home_ms
+            total_ms = wait_ms + (home_ms if is_home else away_ms)
+            key = (wait_ms > query.wait_ms, total_ms + count / record.slots)
+            if key < best_key:
+                best = Pick(record, wait_ms, is_home)
+                best_key = key
+                if query.affinity_key and is_home and not queued:
+                    break
+        return best
+
+    def _available(
+        self,
+        ranking: collections.abc.Iterable[registry.TargetRecord],
+        excluded: collections.abc.Set[str],
+        per_s: float,
+    ) -> collections.abc.Iterator[registry.TargetRecord]:
+        for record in ranking:
             name = record.name
             if name in excluded or not self._ejections.is_available(name):
                 continue
@@ -236,13 +278,19 @@
                 name, per_s
             ):
                 continue
-            count = self._loads.in_progress(name)
-            if count < record.slots:
-                return record
-            wait = (count + 1 - record.slots) / record.slots
-            if best is None or wait < best[0]:
-                best = (wait, record)
-        return best
+            yield record
+
+    def _is_busy(
+        self, ranking: collections.abc.Sequence[registry.TargetRecord]
+    ) -> bool:
+        """Tell whether targets have no slots to spare for other objects.
+
+        A target that handles too many objects is prepared for none of them,
+        so that under load each request would take the longest time.
+        """
+        slots = sum(record.slots for record in ranking)
+        count = sum(self._loads.in_progress(record.name) for record in ranking)
+        return count >= slots * MAX_LOAD_AWAY
 
     def _rank_targets(
         self, service: str, region: str, affinity_key: bytes, epoch: int
--- a/wigeonhatch/balance/region_split.py
+++ b/wigeonhatch/balance/region_split.py
@@ -4,6 +4,9 @@
 
 import collections.abc
 import dataclasses
+import math
+
+import xxhash
 
 STEP_MS = 500
 """Interval at which the parts are adjusted."""
@@ -13,6 +16,9 @@
 """Part of the cap that is used; the rest covers chance in the traffic."""
 LOCAL_LOAD = 0.7
 """Load up to which a region keeps its own requests, to leave headroom."""
+MAX_AHEAD = 3.0
+"""Requests by which a region may be ahead of its part."""
+_HASHES = 2.0**64 + 1
 _BALANCE_MARGIN = 1.1
 """Load above the average from which a region hands requests over."""
 
@@ -119,14 +125,21 @@
             )
         self._slots_by_region = slots
 
-    def choose(self, allowed: collections.abc.Set[str]) -> str | None:
+    def choose(
+        self, allowed: collections.abc.Set[str], affinity_key: bytes
+    ) -> str | None:
         """Choose the region of the next request.
 
+        Each object has an order of regions, weighted by their parts, so that
+        few targets have to prepare for it. A region that has got too many
+        requests is passed over, so that the parts hold in any short time.
+
         Args:
             allowed: Regions that may serve the request.
+            affinity_key: Object of the request; empty for none.
 
         Returns:
-            The region that lacks most of its part; None if there is none.
+            The region; None if there is none.
         """
         parts = {
             region: part
@@ -140,7 +153,11 @@
         for region, part in parts.items():
             due[region] = due.get(region, 0.0) + part / total
         chosen = max(parts, key=lambda region: due[region])
-        due[chosen] -= 1.0
+        if affinity_key:
+            preferred = _prefer(parts, affinity_key)
+            if due[preferred] > -MAX_AHEAD:
+                chosen = preferred
+        due[chosen] = max(-2 * MAX_AHEAD, due[chosen] - 1.0)
         return chosen
 
     def _lost_part(self, slots: dict[str, int]) -> float:
@@ -153,6 +170,18 @@
         return lost
 
 
+def _prefer(parts: dict[str, float], affinity_key: bytes) -> str:
+    """Choose by rendezvous hashing with weights."""
+
+    def score(region: str) -> float:
+        digest = xxhash.xxh3_64_intdigest(
+            affinity_key + b'\0' + region.encode()
+        )
+        return parts[region] / -math.log((digest + 1) / _HASHES)
+
+    return max(parts, key=score)
+
+
 def _move(
     current: dict[str, float], wanted: dict[str, float], max_step: float
 ) -> dict[str, float]:
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -16,6 +16,7 @@
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import silence
 from wigeonhatch.balance import warmup
 from wigeonhatch.platform import edge
 from wigeonhatch.requests import body as bodies
@@ -39,6 +40,9 @@
 """Usual times of a request after which an idempotent one is sent again."""
 MIN_PATIENCE_MS = 400.0
 """Shortest time until a request is sent again."""
+LATE_WAIT_PART = 0.5
+"""Part of the time left that a late request may wait, so that it ends well
+before its caller gives up."""
 MAX_SKIPS = 3
 """Targets that may be skipped because no connection could be opened."""
 _MISDIRECTED = 421
@@ -150,6 +154,7 @@
         self._targets = targets
         self._client = client
         self._clock = clock
+        self._answers = silence.AnswerTimes(clock)
         self._budget_by_service: dict[str, retry.RetryBudget] = (
             collections.defaultdict(budgets)
         )
@@ -182,7 +187,12 @@
             ):
                 return self._refuse(progress, progress.failure.code)
             picked = self._picker.pick(
-                _build_query(request, left_ms), progress.tried
+                _build_query(
+                    request,
+                    left_ms,
+                    self._loads.duration_ms(request.service, True),
+                ),
+                progress.tried,
             )
             if isinstance(picked, pickers.NoTarget):
                 return self._refuse(
@@ -223,9 +233,10 @@
         request: RelayRequest,
         body: bodies.RequestBody,
         control: model.RequestControl,
-        target: registry.TargetRecord,
+        picked: pickers.Pick,
         progress: _Progress,
     ) -> Relayed | None:
+        target = picked.target
         name = target.name
         is_cold = self._targets.is_cold(name)
         if is_cold:
@@ -236,27 +247,33 @@
         self._loads.start(name)
         self._ejections.on_start(name)
         result: Relayed | outcome.Failure | None = None
-        limit_ms = self._limit_ms(request, progress, body, started_ms)
         try:
             with anyio.CancelScope() as scope:
                 control.enter(scope)
-                result = await self._exchange(request, body, target, limit_ms)
+                watch = self._watch_silence(
+                    request, progress, body, name, scope
+                )
+                result = await self._exchange(request, body, target)
             cause = control.leave()
         finally:
+            watch.stop()
             self._loads.finish(name)
-            if result is None:
-                self._ejections.on_end(name)
         took_ms = self._clock.now_ms - started_ms
         if result is None:
-            code = cause or codes.ResultCode.CALLER_GONE
-            result = outcome.Failure(code, ran_override=codes.Ran.UNKNOWN)
-        self._judge(request, target, result, load, took_ms)
+            result = outcome.Failure(
+                cause or codes.ResultCode.TARGET_TIMEOUT,
+                ran_override=codes.Ran.UNKNOWN,
+            )
+        self._judge(request, picked, result, load, took_ms)
         log.event(
             _LOG,
             'attempt',
             request_id=request.request_id.decode('ascii', 'replace'),
             target=name,
+            affinity=request.affinity_key.decode('ascii', 'replace'),
             load=load,
+            wait_ms=round(picked.wait_ms),
+            home=picked.is_home,
             slots=target.slots,
             cold=is_cold,
             left_ms=request.end_ms - started_ms,
@@ -299,29 +316,31 @@
             return None
         return result
 
-    def _limit_ms(
+    def _watch_silence(
         self,
         request: RelayRequest,
         progress: _Progress,
         body: bodies.RequestBody,
-        now_ms: int,
-    ) -> int:
-        """End of an attempt on the monotonic clock in ms."""
+        target: str,
+        scope: anyio.CancelScope,
+    ) -> silence.SilenceWatch:
+        """Give an attempt up once its target has answered nobody for long.
+
+        A target that answers other requests is slow, and sending the request
+        once more would only add to its load.
+        """
         is_last = progress.sends + 1 >= request.route.max_attempts
-        if is_last or not request.route.is_idempotent or not body.is_available:
-            return request.end_ms
-        usual_ms = self._loads.duration_ms(
-            request.service, pickers.DEFAULT_DURATION_MS
-        )
-        patience_ms = max(MIN_PATIENCE_MS, PATIENCE_FACTOR * usual_ms)
-        return min(request.end_ms, now_ms + int(patience_ms))
+        watch = silence.SilenceWatch(self._answers, target, scope.cancel)
+        if request.route.is_idempotent and body.is_available and not is_last:
+            usual_ms = self._loads.duration_ms(request.service, False)
+            watch.start(max(MIN_PATIENCE_MS, PATIENCE_FACTOR * usual_ms))
+        return watch
 
     async def _exchange(
         self,
         request: RelayRequest,
         body: bodies.RequestBody,
         target: registry.TargetRecord,
-        limit_ms: int,
     ) -> Relayed | outcome.Failure:
         left_ms = request.end_ms - self._clock.now_ms
         head = target_request.RequestHead(
@@ -332,10 +351,11 @@
             request.host_name,
         )
         sent = await self._client.send(
-            target.name, head, body.outgoing(), limit_ms
+            target.name, head, body.outgoing(), request.end_ms
         )
         if isinstance(sent, outcome.Failure):
             return sent
+        self._answers.on_answer(target.name)
         response = sent.value
         said = edge.read_target_fields(response.headers)
         if said.request_id != request.request_id:
@@ -359,19 +379,23 @@
     def _judge(
         self,
         request: RelayRequest,
-        target: registry.TargetRecord,
+        picked: pickers.Pick,
         result: Relayed | outcome.Failure,
         load: int,
         took_ms: int,
     ) -> None:
         """Tell the balance what an attempt shows of its target."""
+        target = picked.target
         name = target.name
         if isinstance(result, Relayed):
             if result.status >= _SERVER_ERROR:
                 self._ejections.on_failure(name, f'status {result.status}')
             else:
                 self._ejections.on_success(name)
-                self._loads.on_served(request.service, took_ms)
+                if load < target.slots:
+                    self._loads.on_served(
+                        request.service, picked.is_home, took_ms
+                    )
             return
         if result.code is codes.ResultCode.CALLER_GONE:
             self._ejections.on_end(name)
@@ -417,14 +441,23 @@
 )
 
 
-def _build_query(request: RelayRequest, left_ms: int) -> pickers.Query:
+def _build_query(
+    request: RelayRequest, left_ms: int, duration_ms: float
+) -> pickers.Query:
+    """State how long the request may wait for a slot.
+
+    The response is of full use within the objective. If even a request that
+    does not wait misses it, the time until the end decides.
+    """
     waited_ms = request.end_ms - left_ms - request.received_ms
-    useful_ms = request.route.objective_ms or left_ms
+    useful_ms = request.route.objective_ms - waited_ms - duration_ms
+    if useful_ms <= 0:
+        useful_ms = (left_ms - duration_ms) * LATE_WAIT_PART
     return pickers.Query(
         request.service,
         request.affinity_key if request.route.has_affinity else b'',
         request.route.home_regions,
-        max(0.0, min(left_ms, useful_ms) - waited_ms),
+        max(0.0, useful_ms),
     )
 
 
