Refuse before closing when a host stops; cut attempts only with a retry

Attempts at targets that seemed silent were cut although the retry budget was empty, and the usual duration was learned from requests that only test the configuration.

--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -28,6 +28,7 @@
     ejections: int = 0
     ejected_until_ms: int = 0
     is_on_trial: bool = False
+    is_reached: bool = False
     trials: int = 0
 
 
@@ -58,6 +59,15 @@
             return False
         return not health.is_on_trial or health.trials == 0
 
+    def is_reached(self, target: str) -> bool:
+        """Tell whether the last failure was an answer of the target.
+
+        Such a target may still serve a part of its requests, which is better
+        than none if most targets fail alike.
+        """
+        health = self._health_by_target.get(target)
+        return health is None or health.is_reached
+
     def is_suspect(self, target: str) -> bool:
         """Tell whether a target is ejected or on trial."""
         health = self._health_by_target.get(target)
@@ -90,14 +100,16 @@
         if health is not None and health.trials:
             health.trials -= 1
 
-    def on_failure(self, target: str, reason: str) -> None:
+    def on_failure(self, target: str, is_reached: bool, reason: str) -> None:
         """Record a failed request.
 
         Args:
             target: Name of the target.
+            is_reached: Whether the target has answered.
             reason: Why it failed, for the log.
         """
         health = self._health_by_target.setdefault(target, _Health())
+        health.is_reached = is_reached
         health.consecutive += 1
         health.ratio += _SMOOTHING * (1 - health.ratio)
         if health.trials:
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -21,6 +21,8 @@
 """Weight of the newest count of busy slots; about the last 1.5 s count."""
 _MAX_RANKINGS = 4_096
 """Cached orders of targets; services x objects x regions at today's sizes."""
+MIN_AVAILABLE = 0.5
+"""Part of a region's targets that failures alone do not leave out."""
 MAX_LOAD_AWAY = 0.5
 """Load of a region's targets up to which objects leave their home targets;
 a request away from home takes about three times as long."""
@@ -266,13 +268,24 @@
 
     def _available(
         self,
-        ranking: collections.abc.Iterable[registry.TargetRecord],
+        ranking: collections.abc.Sequence[registry.TargetRecord],
         excluded: collections.abc.Set[str],
         per_s: float,
     ) -> collections.abc.Iterator[registry.TargetRecord]:
+        """Yield the targets that may get a request, in their order."""
+        ejections = self._ejections
+        available = sum(
+            ejections.is_available(record.name) for record in ranking
+        )
+        # Leaving most targets out would overload the rest.
+        is_scarce = available < len(ranking) * MIN_AVAILABLE
         for record in ranking:
             name = record.name
-            if name in excluded or not self._ejections.is_available(name):
+            if name in excluded:
+                continue
+            if not ejections.is_available(name) and not (
+                is_scarce and ejections.is_reached(name)
+            ):
                 continue
             if self._targets.is_cold(name) and not self._warmups.has_token(
                 name, per_s
--- a/wigeonhatch/balance/silence.py
+++ b/wigeonhatch/balance/silence.py
@@ -34,14 +34,14 @@
     Args:
         answers: Times of answers.
         target: Name of the target.
-        on_silent: Called at most once.
+        on_silent: Called after each time of silence until it returns True.
     """
 
     def __init__(
         self,
         answers: AnswerTimes,
         target: str,
-        on_silent: collections.abc.Callable[[], None],
+        on_silent: collections.abc.Callable[[], bool],
     ) -> None:
         self._answers = answers
         self._target = target
@@ -78,6 +78,5 @@
         left_ms = self._limit_ms - (self._answers.clock.now_ms - heard_ms)
         if left_ms > 0:
             self._arm(left_ms + 1)
-        else:
-            self._timer = None
-            self._on_silent()
+        elif not self._on_silent():
+            self._arm(self._limit_ms)
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import logging
 import random
 import signal
@@ -161,10 +162,7 @@
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._adjust)
             await self._wait_for_signal()
-            await self._stop()
-            for server in servers:
-                server.should_exit = True
-            await self._clock.sleep_ms(EXIT_MARGIN_MS // 2)
+            await self._stop(servers)
             tasks.cancel_scope.cancel()
         self._fleet.close()
         log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
@@ -213,24 +211,38 @@
                 if number != signal.SIGHUP:
                     return
 
-    async def _stop(self) -> None:
-        """Leave the lookups, serve what still arrives, and finish it."""
+    async def _stop(
+        self, servers: collections.abc.Sequence[http_server.HttpServer]
+    ) -> None:
+        """Leave the lookups, serve what still arrives, and finish it.
+
+        Callers that hold an earlier lookup are served until it has expired
+        and the host is idle, or until a request could no longer be finished.
+        From then on requests are refused as not run.
+        """
         clock = self._clock
+        application = self._application
         started_ms = clock.now_ms
         self._is_stopping = True
-        self._application.is_stopping = True
+        application.is_stopping = True
         end_ms = started_ms + self._settings.bounds.stop_grace - EXIT_MARGIN_MS
-        refuse_ms = end_ms - MIN_SERVICE_MS
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._fleet.leave)
-            while clock.now_ms < end_ms:
-                now_ms = clock.now_ms
-                self._application.is_refusing = now_ms >= refuse_ms
-                is_left = now_ms - started_ms > DIRECTORY_TTL_MS
-                if is_left and not self._application.in_progress:
+            while clock.now_ms < end_ms - MIN_SERVICE_MS:
+                is_left = clock.now_ms - started_ms > DIRECTORY_TTL_MS
+                if is_left and not application.in_progress:
                     break
                 await clock.sleep_ms(_POLL_MS)
+            application.is_refusing = True
+            while application.in_progress and clock.now_ms < end_ms:
+                await clock.sleep_ms(_POLL_MS)
             tasks.cancel_scope.cancel()
+        for server in servers:
+            server.should_exit = True
+        while application.in_progress and clock.now_ms < end_ms:
+            await clock.sleep_ms(_POLL_MS)
+        # Lets the servers close their idle connections.
+        await clock.sleep_ms(EXIT_MARGIN_MS // 2)
 
     async def _adjust(self) -> None:
         while True:
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -330,7 +330,15 @@
         once more would only add to its load.
         """
         is_last = progress.sends + 1 >= request.route.max_attempts
-        watch = silence.SilenceWatch(self._answers, target, scope.cancel)
+        budget = self._budget_by_service[request.service]
+
+        def on_silent() -> bool:
+            # Without a retry, the attempt may still succeed.
+            if budget.has_token:
+                scope.cancel()
+            return budget.has_token
+
+        watch = silence.SilenceWatch(self._answers, target, on_silent)
         if request.route.is_idempotent and body.is_available and not is_last:
             usual_ms = self._loads.duration_ms(request.service, False)
             watch.start(max(MIN_PATIENCE_MS, PATIENCE_FACTOR * usual_ms))
@@ -389,10 +397,13 @@
         name = target.name
         if isinstance(result, Relayed):
             if result.status >= _SERVER_ERROR:
-                self._ejections.on_failure(name, f'status {result.status}')
+                self._ejections.on_failure(
+                    name, True, f'status {result.status}'
+                )
             else:
                 self._ejections.on_success(name)
-                if load < target.slots:
+                # Requests without an object test the configuration.
+                if load < target.slots and request.affinity_key:
                     self._loads.on_served(
                         request.service, picked.is_home, took_ms
                     )
@@ -405,7 +416,9 @@
             # A full target rightly refuses.
             self._ejections.on_end(name)
         else:
-            self._ejections.on_failure(name, result.code.name)
+            self._ejections.on_failure(
+                name, result.code in _REACHED_CODES, result.code.name
+            )
             if result.code in _SILENT_CODES:
                 self._client.drop_idle(name)
 
@@ -432,6 +445,13 @@
         return Refused(failure, return_ms)
 
 
+_REACHED_CODES = frozenset(
+    {
+        codes.ResultCode.TARGET_SHED,
+        codes.ResultCode.TARGET_PROTOCOL,
+        codes.ResultCode.RESPONSE_INCOMPLETE,
+    }
+)
 _SILENT_CODES = frozenset(
     {
         codes.ResultCode.TARGET_TIMEOUT,
--- a/wigeonhatch/requests/retry.py
+++ b/wigeonhatch/requests/retry.py
@@ -46,13 +46,18 @@
         """Count one request of the service."""
         self._tokens = min(self._limit, self._tokens + self._percent)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether the budget allows a retry now."""
+        return self._tokens >= _TOKEN_SIZE
+
     def take(self) -> bool:
         """Take one retry.
 
         Returns:
             Whether the budget allows the retry.
         """
-        if self._tokens < _TOKEN_SIZE:
+        if not self.has_token:
             return False
         self._tokens -= _TOKEN_SIZE
         return True
