--- /dev/null
+++ b/tests/balance/scene.py
@@ -0,0 +1,87 @@
+"""Picker with its parts on a manual clock."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.balance import ejection
+from wigeonhatch.balance import loads
+from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import warmup
+from wigeonhatch.routes import model
+from wigeonhatch.targets import registry
+
+REGION_BY_DOMAIN = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+TRAITS = model.ServiceTraits('/health', 100, 3_000, 5.0)
+
+
+def build_target(
+    name: str,
+    domain: str = 'a1',
+    slots: int = 4,
+    service: str = 'board',
+    is_draining: bool = False,
+    warmup_left_ms: int = 0,
+    started_ms: int = 1,
+    address: str = '127.0.0.1:9',
+) -> registry.TargetRecord:
+    """Build a target as the platform lists it."""
+    return registry.TargetRecord(
+        name,
+        service,
+        address,
+        domain,
+        slots,
+        is_draining,
+        warmup_left_ms,
+        started_ms,
+    )
+
+
+class Scene:
+    """Picker of the host `h1` in region `a`, and all that it looks at.
+
+    Args:
+        targets: Listed targets.
+        hosts: Live hosts.
+        max_shift: Largest part of requests that changes region in 2 s.
+    """
+
+    def __init__(
+        self,
+        targets: collections.abc.Iterable[registry.TargetRecord],
+        hosts: collections.abc.Set[str] = frozenset({'h1'}),
+        max_shift: float = 0.15,
+        region_by_domain: dict[str, str] | None = None,
+    ) -> None:
+        self.clock = clocks.ManualClock()
+        self.targets = registry.TargetRegistry(self.clock)
+        self.targets.set_services({'board': TRAITS})
+        self.targets.replace(targets)
+        self.loads = loads.LoadTable(self.clock)
+        self.ejections = ejection.EjectionTable(self.clock)
+        self.warmups = warmup.WarmupBudget('h1', self.clock, lambda: hosts)
+        self.picker = pickers.Picker(
+            'a',
+            region_by_domain or REGION_BY_DOMAIN,
+            max_shift,
+            self.targets,
+            self.loads,
+            self.ejections,
+            self.warmups,
+            self.clock,
+        )
+        self.picker.configure({'board': TRAITS})
+        self.picker.adjust_splits({})
+
+    def pick(
+        self,
+        key: bytes = b'k',
+        wait_ms: float = 300.0,
+        homes: frozenset[str] = frozenset(),
+        excluded: collections.abc.Set[str] = frozenset(),
+    ) -> pickers.Pick | pickers.NoTarget:
+        """Choose a target for a request of the service `board`."""
+        query = pickers.Query('board', key, homes, wait_ms)
+        return self.picker.pick(query, excluded)
--- /dev/null
+++ b/tests/entry/fake_store.py
@@ -0,0 +1,54 @@
+"""Store client on the stand-in's rows, without a network."""
+
+from __future__ import annotations
+
+import base64
+import typing
+
+from wigeonhatch.platform import interface
+from wigeonhatch.platform import store as stores
+from wigeonhatch.standins import row_store
+
+
+class FakeStore:
+    """Client that reads the rows of a stand-in directly.
+
+    Args:
+        rows: Rows to read.
+    """
+
+    def __init__(self, rows: row_store.RowStore) -> None:
+        self.rows = rows
+        self.is_down = False
+        self.lists = 0
+
+    async def list_rows(
+        self, table: str
+    ) -> stores.Snapshot | interface.Unavailable:
+        """Read all rows of a table."""
+        self.lists += 1
+        if self.is_down:
+            return interface.Unavailable('down')
+        return stores.Snapshot(
+            tuple(map(_decode, self.rows.rows(table))), self.rows.version
+        )
+
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> stores.Snapshot | stores.HistoryGone | interface.Unavailable:
+        """Read the changes of a table."""
+        if self.is_down:
+            return interface.Unavailable('down')
+        found = await self.rows.wait_for_changes(table, after, 1)
+        if found is None:
+            return stores.HistoryGone()
+        return stores.Snapshot(tuple(map(_decode, found)), self.rows.version)
+
+
+def _decode(row: dict[str, typing.Any]) -> stores.StoredRow:
+    return stores.StoredRow(
+        row['key'],
+        base64.b64decode(row.get('value', '')),
+        row['ver'],
+        row.get('deleted', False),
+    )
--- /dev/null
+++ b/tests/entry/test_table_follower.py
@@ -0,0 +1,110 @@
+"""Tests of following a table of the store."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+
+from tests.entry import fake_store
+from wigeonhatch import clock as clocks
+from wigeonhatch.entry import table_follower
+from wigeonhatch.standins import row_store
+
+
+class _Record:
+    """What a follower has reported."""
+
+    def __init__(self) -> None:
+        self.store = fake_store.FakeStore(row_store.RowStore())
+        self.clock = clocks.ManualClock()
+        self.snapshots: list[list[str]] = []
+        self.changes: list[tuple[str, bool]] = []
+        self.regained_ms: list[int] = []
+        self.follower = table_follower.TableFollower(
+            typing.cast(typing.Any, self.store),
+            'op',
+            lambda rows: self.snapshots.append([row.key for row in rows]),
+            lambda rows: self.changes.extend(
+                (row.key, row.is_deleted) for row in rows
+            ),
+            self.regained_ms.append,
+            self.clock,
+            random.Random(1),
+        )
+
+    async def run_for(self, duration_s: float = 0.05) -> None:
+        """Let the follower run."""
+        with anyio.move_on_after(duration_s):
+            await self.follower.run()
+
+
+def test_rows_come_once_and_changes_in_order() -> None:
+    """Guards against changes that are lost between reading and following."""
+
+    async def scenario() -> None:
+        record = _Record()
+        record.store.rows.put('op', 'a', {})
+        await record.run_for()
+        record.store.rows.put('op', 'b', {})
+        record.store.rows.put('other', 'x', {})
+        record.store.rows.remove('op', 'a')
+        await record.run_for()
+        assert record.snapshots == [['a']]
+        assert record.changes == [('b', False), ('a', True)]
+        assert record.regained_ms == []
+
+    anyio.run(scenario)
+
+
+def test_lost_history_means_reading_again() -> None:
+    """Guards against a follower that stays behind a dropped history."""
+
+    async def scenario() -> None:
+        record = _Record()
+        await record.run_for()
+        record.store.rows.put('op', 'a', {})
+        record.store.rows.forget_history()
+        await record.run_for()
+        assert record.snapshots == [[], ['a']]
+
+    anyio.run(scenario)
+
+
+def test_outage_is_reported_with_its_length() -> None:
+    """Guards against entries that count as gone after an outage."""
+
+    async def scenario() -> None:
+        record = _Record()
+        await record.run_for()
+        record.store.is_down = True
+        before_ms = record.clock.now_ms
+        await record.run_for()
+        assert not record.follower.is_connected
+        record.store.is_down = False
+        await record.run_for()
+        assert record.follower.is_connected
+        assert len(record.regained_ms) == 1
+        assert record.regained_ms[0] >= record.clock.now_ms - before_ms > 0
+
+    anyio.run(scenario)
+
+
+def test_failed_calls_are_spaced() -> None:
+    """Guards against a host that floods a store that refuses it."""
+
+    async def scenario() -> None:
+        record = _Record()
+        record.store.is_down = True
+        started_ms = record.clock.now_ms
+        with anyio.move_on_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(record.follower.run)
+                while record.store.lists < 50:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+        elapsed_ms = record.clock.now_ms - started_ms
+        assert elapsed_ms >= 45 * table_follower.MAX_BACKOFF_MS // 2
+
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/requests/test_relay.py
@@ -0,0 +1,261 @@
+"""Tests of the relay of one request, with targets in memory."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import pytest
+
+from tests.balance import scene as scenes
+from tests.routes import test_table
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import model as request_model
+from wigeonhatch.requests import relay as relays
+from wigeonhatch.requests import retry
+from wigeonhatch.routes import model
+from wigeonhatch.targets import request as target_request
+
+CODE = codes.ResultCode
+SIGNED = (b'response-signature', b's')
+NOT_RUN = (b'not-executed', b'1')
+
+
+class _Response:
+    """Response of a target in memory."""
+
+    def __init__(
+        self,
+        status: int = 200,
+        headers: tuple[tuple[bytes, bytes], ...] = (SIGNED,),
+        parts: tuple[bytes | outcome.Failure, ...] = (b'ok',),
+        request_id: bytes = b'r1',
+    ) -> None:
+        self.status = status
+        self.headers = ((b'request-id', request_id), *headers)
+        self._parts = list(parts)
+
+    async def read(self) -> bytes | outcome.Failure | None:
+        return self._parts.pop(0) if self._parts else None
+
+    async def discard(self) -> None:
+        self._parts.clear()
+
+    async def close(self) -> None:
+        self._parts.clear()
+
+
+Step = collections.abc.Callable[[], _Response] | outcome.Failure | None
+"""What one attempt meets; None never answers."""
+
+
+class _Client:
+    """Client whose targets follow a script."""
+
+    def __init__(self, *steps: Step) -> None:
+        self.steps = list(steps)
+        self.targets: list[str] = []
+        self.heads: list[target_request.RequestHead] = []
+        self.on_send: collections.abc.Callable[[], None] = lambda: None
+
+    async def send(
+        self,
+        target: str,
+        head: target_request.RequestHead,
+        body: object,
+        deadline_ms: int,
+    ) -> outcome.Success[typing.Any] | outcome.Failure:
+        self.targets.append(target)
+        self.heads.append(head)
+        self.on_send()
+        step = self.steps.pop(0)
+        if step is None:
+            await anyio.sleep_forever()
+        if isinstance(step, outcome.Failure):
+            return step
+        assert step is not None
+        return outcome.Success(step())
+
+    def drop_idle(self, target: str) -> None:
+        """Do nothing; there are no connections."""
+
+
+class _Rig:
+    """Relay with scripted targets."""
+
+    def __init__(self, *steps: Step, retries: int = 10) -> None:
+        self.scene = scenes.Scene(
+            scenes.build_target(f't{number}') for number in range(4)
+        )
+        self.client = _Client(*steps)
+        self.control = request_model.RequestControl()
+        self.relay = relays.Relay(
+            self.scene.picker,
+            self.scene.loads,
+            self.scene.ejections,
+            self.scene.warmups,
+            self.scene.targets,
+            typing.cast(typing.Any, self.client),
+            lambda: retry.RetryBudget(0, retries),
+            self.scene.clock,
+        )
+
+    def run(
+        self, kind: model.RequestKind = model.RequestKind.IDEMPOTENT
+    ) -> relays.Relayed | relays.Refused:
+        """Run one request."""
+        route = dataclasses.replace(
+            test_table.build_route('r', '/a/', ('board', 1)),
+            kind=kind,
+            objective_ms=600,
+            has_affinity=True,
+        )
+        now_ms = self.scene.clock.now_ms
+        request = relays.RelayRequest(
+            b'r1',
+            route,
+            'board',
+            1,
+            'POST',
+            b'/a/x',
+            b'x.example',
+            ((b'request-id', b'r1'),),
+            b'key',
+            now_ms,
+            now_ms + 2_000,
+        )
+
+        async def read_part() -> bytes | None | outcome.Failure:
+            return None
+
+        body = bodies.RequestBody(0, read_part, 100)
+        body.is_received = True
+
+        async def main() -> relays.Relayed | relays.Refused:
+            with anyio.fail_after(5):
+                return await self.relay.run(request, body, self.control)
+
+        result = anyio.run(main)
+        counts = self.scene.loads.own_counts()
+        assert counts == {}, 'a request is still counted'
+        return result
+
+
+def refused(
+    result: relays.Relayed | relays.Refused,
+) -> tuple[codes.ResultCode, codes.Ran]:
+    """Result code of a refusal, and whether the request ran."""
+    assert isinstance(result, relays.Refused)
+    return result.failure.code, result.failure.ran
+
+
+def shed() -> _Response:
+    """Refusal of a full target."""
+    return _Response(503, (NOT_RUN,))
+
+
+LOST = outcome.Failure(CODE.TARGET_LOST, 'reset', codes.Ran.UNKNOWN)
+CONNECT_FAILED = outcome.Failure(
+    CODE.TARGET_CONNECT_FAILED, 'refused', codes.Ran.NOT_RUN
+)
+ONCE = model.RequestKind.NON_IDEMPOTENT
+
+
+def test_response_is_whole_and_unchanged() -> None:
+    """Guards against responses that differ from the target's."""
+    rig = _Rig(lambda: _Response(parts=(b'a', b'b')))
+    result = rig.run()
+    assert isinstance(result, relays.Relayed)
+    assert (result.status, result.body) == (200, b'ab')
+    assert SIGNED in result.headers
+    sent = dict(rig.client.heads[0].headers)
+    assert sent[b'target-instance'] == rig.client.targets[0].encode()
+    assert int(sent[b'deadline-ms']) <= 2_000
+
+
+@pytest.mark.parametrize('kind', list(model.RequestKind))
+def test_request_that_did_not_run_goes_elsewhere(
+    kind: model.RequestKind,
+) -> None:
+    """Guards against refusals while another target has room."""
+    rig = _Rig(shed, _Response)
+    assert isinstance(rig.run(kind), relays.Relayed)
+    assert len(set(rig.client.targets)) == 2
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        LOST,
+        lambda: _Response(request_id=b'other'),
+        lambda: _Response(headers=()),
+        lambda: _Response(headers=(SIGNED, (b'content-encoding', b'gzip'))),
+        lambda: _Response(parts=(b'a', LOST)),
+    ],
+)
+def test_request_that_may_have_run_is_sent_once(step: Step) -> None:
+    """Guards against requests that run twice, and refusals that lie."""
+    rig = _Rig(step, _Response)
+    _, ran = refused(rig.run(ONCE))
+    assert ran is not codes.Ran.NOT_RUN
+    assert len(rig.client.targets) == 1
+
+
+def test_idempotent_request_is_repeated() -> None:
+    """Guards against failures that another target could have served."""
+    rig = _Rig(LOST, _Response)
+    assert isinstance(rig.run(), relays.Relayed)
+
+
+def test_shed_after_an_unknown_attempt_is_not_called_not_run() -> None:
+    """Guards against a refusal that says not run after a first send."""
+    rig = _Rig(LOST, shed)
+    _, ran = refused(rig.run())
+    assert ran is not codes.Ran.NOT_RUN
+
+
+def test_retries_end_with_the_budget() -> None:
+    """Guards against repeats beyond the agreed number."""
+    rig = _Rig(shed, shed, shed, retries=1)
+    for wanted in (2, 3):
+        assert refused(rig.run())[1] is codes.Ran.NOT_RUN
+        assert len(rig.client.targets) == wanted
+
+
+def test_unreached_targets_cost_no_retry() -> None:
+    """Guards against refusals because some targets are down."""
+    rig = _Rig(CONNECT_FAILED, CONNECT_FAILED, _Response, retries=0)
+    assert isinstance(rig.run(ONCE), relays.Relayed)
+    assert len(set(rig.client.targets)) == 3
+
+
+def test_error_of_the_target_is_delivered() -> None:
+    """Guards against a target's response that is replaced by a refusal."""
+    rig = _Rig(lambda: _Response(500), shed)
+    result = rig.run()
+    assert isinstance(result, relays.Relayed)
+    assert result.status == 500
+    rig = _Rig(lambda: _Response(500))
+    result = rig.run(ONCE)
+    assert isinstance(result, relays.Relayed)
+
+
+def test_caller_that_leaves_ends_the_attempt() -> None:
+    """Guards against work for callers that have gone."""
+    rig = _Rig(None, _Response)
+    rig.client.on_send = lambda: rig.control.on_caller_gone()
+    assert refused(rig.run())[0] is CODE.CALLER_GONE
+    assert len(rig.client.targets) == 1
+
+
+def test_full_service_refuses_at_once() -> None:
+    """Guards against requests that wait where nothing can serve them."""
+    rig = _Rig()
+    rig.scene.loads.on_report('h2', {f't{n}': 40 for n in range(4)})
+    code, ran = refused(rig.run())
+    assert (code, ran) == (CODE.NO_CAPACITY, codes.Ran.NOT_RUN)
+    assert rig.client.targets == []
--- /dev/null
+++ b/tests/targets/test_registry.py
@@ -0,0 +1,70 @@
+"""Tests of the list of targets."""
+
+from __future__ import annotations
+
+from tests.balance import scene as scenes
+from wigeonhatch import clock as clocks
+from wigeonhatch.targets import registry
+
+
+def build_registry() -> tuple[registry.TargetRegistry, clocks.ManualClock]:
+    """Build a registry with one target and its service."""
+    clock = clocks.ManualClock()
+    table = registry.TargetRegistry(clock)
+    table.set_services({'board': scenes.TRAITS})
+    table.replace([scenes.build_target('t1')])
+    return table, clock
+
+
+def test_targets_of_the_first_list_are_warm() -> None:
+    """Guards against a host that starts and spares all targets."""
+    table, _ = build_registry()
+    assert not table.is_cold('t1')
+
+
+def test_new_target_is_cold_until_its_warmup_ends() -> None:
+    """Guards against full load at a target that has just started."""
+    table, clock = build_registry()
+    table.update([scenes.build_target('t2')], ())
+    assert table.is_cold('t2')
+    clock.advance(scenes.TRAITS.warmup_ms)
+    assert not table.is_cold('t2')
+
+
+def test_restart_under_the_same_name_is_a_new_target() -> None:
+    """Guards against a restarted target that counts as warm."""
+    table, _ = build_registry()
+    before = table.record_by_name['t1']
+    table.update([scenes.build_target('t1', started_ms=2)], ())
+    assert table.is_cold('t1')
+    assert not table.is_usable(before)
+
+
+def test_targets_of_a_returned_domain_are_cold() -> None:
+    """Guards against full load at targets that lost what they kept."""
+    table, _ = build_registry()
+    table.set_evacuated(frozenset({'a1'}))
+    assert table.usable('board') == ()
+    table.set_evacuated(frozenset())
+    assert [record.name for record in table.usable('board')] == ['t1']
+    assert table.is_cold('t1')
+
+
+def test_draining_target_is_not_usable() -> None:
+    """Guards against new requests to a target that leaves."""
+    table, _ = build_registry()
+    epoch = table.epoch
+    table.update([scenes.build_target('t1', is_draining=True)], ())
+    assert table.usable('board') == ()
+    assert table.epoch > epoch
+    table.update((), ['t1'])
+    assert 't1' not in table.record_by_name
+
+
+def test_report_of_a_warmup_makes_cold() -> None:
+    """Guards against a target that became cold while it was listed."""
+    table, _ = build_registry()
+    table.on_warmup_report('t1', 1_000)
+    table.on_warmup_report('unknown', 1_000)
+    assert table.is_cold('t1')
+    assert not table.is_cold('unknown')
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -11,7 +11,7 @@
 
 
 def test_lines_are_json_without_credentials(
-    capsys: pytest.CaptureFixture[str],
+    capfd: pytest.CaptureFixture[str],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against lines that break parsers, and credentials in the log."""
@@ -31,7 +31,7 @@
         raise ValueError('s3cret-word')
     except ValueError:
         logger.exception('failed')
-    captured = capsys.readouterr()
+    captured = capfd.readouterr()
     lines = captured.out.splitlines()
     first, second = (json.loads(line) for line in lines)
     assert (first['request_id'], first['code']) == ('r1', 403)
