Ask the store less often, let peers tell of changes

Changed: the list of hosts is read now and then instead of followed; the wait grows with the number of hosts; changes in quick succession are gathered; a host that learns from a peer's state that it misses a change asks at once. The length of an outage no longer includes the wait before it.

--- a/tests/entry/fake_store.py
+++ b/tests/entry/fake_store.py
@@ -5,6 +5,8 @@
 import base64
 import typing
 
+import anyio
+
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
 from wigeonhatch.standins import row_store
@@ -20,7 +22,9 @@
     def __init__(self, rows: row_store.RowStore) -> None:
         self.rows = rows
         self.is_down = False
+        self.is_swallowing = False
         self.lists = 0
+        self.follows = 0
 
     async def list_rows(
         self, table: str
@@ -37,6 +41,9 @@
         self, table: str, after: int, wait_ms: int
     ) -> stores.Snapshot | stores.HistoryGone | interface.Unavailable:
         """Read the changes of a table."""
+        self.follows += 1
+        if self.is_swallowing:
+            await anyio.sleep_forever()
         if self.is_down:
             return interface.Unavailable('down')
         found = await self.rows.wait_for_changes(table, after, 1)
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -18,8 +18,8 @@
 """Time after an outage of the store for which missing targets are kept; the
 platform lists targets that live again within 2 s."""
 MIN_OUTAGE_MS = 2_500
-"""Silence of the store after which entries may have lapsed; above the wait
-of one call for changes."""
+"""Outage of the store after which entries may have lapsed; they do after
+three missed reports of a target, which take longer."""
 _LOG = logging.getLogger(__name__)
 
 Rows = collections.abc.Sequence[stores.StoredRow]
@@ -97,13 +97,13 @@
         self._targets.update(records, removed | unusable)
         self._on_targets()
 
-    def on_store_regained(self, silent_ms: int) -> None:
+    def on_store_regained(self, outage_ms: int) -> None:
         """Start the grace for missing targets after an outage.
 
         Args:
-            silent_ms: Time since the last answer of the store in ms.
+            outage_ms: Time for which the store did not answer in ms.
         """
-        if silent_ms > MIN_OUTAGE_MS:
+        if outage_ms > MIN_OUTAGE_MS:
             self._grace_until_ms = self._clock.now_ms + RETURN_GRACE_MS
 
     def drop_missing(self) -> None:
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -79,6 +79,11 @@
             self._loads,
             lambda: self.is_serving,
             lambda: self._config_version,
+            lambda: {
+                name: follower.changed_version
+                for name, follower in self._follower_by_table.items()
+            },
+            self._on_peer_changes,
             clock,
         )
         self._warmups = warmup.WarmupBudget(
@@ -104,6 +109,7 @@
             self._on_targets,
             clock,
         )
+        self._follower_by_table = self._build_followers()
         self._application = edges.EdgeApplication(
             self._routes,
             relays.Relay(
@@ -156,9 +162,10 @@
             await self._fleet.open()
             for server in servers:
                 tasks.start_soon(server.serve)
-            for follower in self._build_followers():
+            for follower in self._follower_by_table.values():
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._fleet.register)
+            tasks.start_soon(self._fleet.follow_list)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._adjust)
             await self._wait_for_signal()
@@ -172,10 +179,9 @@
         config = self._routes.config
         return 0 if config is None else config.version
 
-    def _build_followers(self) -> list[table_follower.TableFollower]:
+    def _build_followers(self) -> dict[str, table_follower.TableFollower]:
         catalog = self._catalog
-
-        table_by_name = {
+        appliers_by_table = {
             names.OPERATOR_TABLE: (
                 catalog.on_operator_snapshot,
                 catalog.on_operator_changes,
@@ -184,23 +190,26 @@
                 catalog.on_target_snapshot,
                 catalog.on_target_changes,
             ),
-            names.HOST_TABLE: (
-                self._fleet.on_host_snapshot,
-                self._fleet.on_host_changes,
-            ),
         }
-        return [
-            table_follower.TableFollower(
+        return {
+            table: table_follower.TableFollower(
                 self._store,
-                name,
+                table,
                 on_snapshot,
                 on_changes,
                 catalog.on_store_regained,
+                lambda: len(self._fleet.live_hosts()),
                 self._clock,
                 self._rng,
             )
-            for name, (on_snapshot, on_changes) in table_by_name.items()
-        ]
+            for table, (on_snapshot, on_changes) in appliers_by_table.items()
+        }
+
+    def _on_peer_changes(self, changed_by_table: dict[str, int]) -> None:
+        for table, version in changed_by_table.items():
+            follower = self._follower_by_table.get(table)
+            if follower is not None:
+                follower.on_peer_version(version)
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -18,12 +18,17 @@
 
 _REGISTER_PAUSE_MS = 500
 """Pause between attempts to list this host; one write each."""
+_FIRST_LISTS = 3
+"""Readings of the list in quick succession after the start, as hosts of one
+fleet start within 1 s."""
+_FIRST_LIST_PAUSE_MS = 1_000
+"""Pause between them."""
+_LIST_PAUSE_MS = 15_000
+"""Pause between later readings; only hosts that hear no peer need them."""
 _STOP_REPEATS = 3
 """Datagrams sent at once when the host stops, against their loss."""
 _LOG = logging.getLogger(__name__)
 
-Rows = collections.abc.Sequence[stores.StoredRow]
-
 
 class Fleet:
     """Exchange states with all hosts.
@@ -34,6 +39,8 @@
         load_table: Requests in progress.
         is_serving: Tells whether callers may be sent to this host.
         config_version: Version of the routing configuration in force.
+        changed_by_table: Newest change that this host has seen, by table.
+        on_peer_changes: Called with the same of each peer.
         clock: Clock of the host.
     """
 
@@ -44,6 +51,8 @@
         load_table: loads.LoadTable,
         is_serving: collections.abc.Callable[[], bool],
         config_version: collections.abc.Callable[[], int],
+        changed_by_table: collections.abc.Callable[[], dict[str, int]],
+        on_peer_changes: collections.abc.Callable[[dict[str, int]], None],
         clock: clocks.Clock,
     ) -> None:
         self.peers = state_link.PeerTable(clock)
@@ -53,10 +62,13 @@
         self._loads = load_table
         self._is_serving = is_serving
         self._config_version = config_version
+        self._changed_by_table = changed_by_table
+        self._on_peer_changes = on_peer_changes
         self._clock = clock
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._ticks = 0
+        self._lists = 0
         self._link = state_link.StateLink(self._on_state)
 
     async def open(self) -> None:
@@ -106,23 +118,34 @@
                 self._loads.forget(host)
             await self._clock.sleep_ms(state_link.INTERVAL_MS)
 
-    def on_host_snapshot(self, rows: Rows) -> None:
-        """Take over all rows of the hosts' table."""
-        self.roster.keep({row.key for row in rows})
-        self.on_host_changes(rows)
+    async def follow_list(self) -> None:
+        """Read the list of hosts now and then.
 
-    def on_host_changes(self, rows: Rows) -> None:
-        """Take over changed rows of the hosts' table."""
-        for row in rows:
-            if row.is_deleted:
-                self.roster.remove(row.key)
+        A host that starts sends its state to all that are listed, which
+        makes it known to them; the list is needed for hosts that start.
+        """
+        while True:
+            found = await self._store.list_rows(names.HOST_TABLE)
+            if isinstance(found, interface.Unavailable):
+                log.event(_LOG, 'hosts not read', reason=found.detail)
+                await self._clock.sleep_ms(_REGISTER_PAUSE_MS)
                 continue
-            try:
-                self.roster.put(row.key, row.value)
-            except ValueError as error:
-                log.event(
-                    _LOG, 'host entry unusable', host=row.key, reason=error
-                )
+            for row in found.rows:
+                try:
+                    self.roster.put(row.key, row.value)
+                except ValueError as error:
+                    log.event(
+                        _LOG, 'host entry unusable', host=row.key, reason=error
+                    )
+            hosts = {row.key for row in found.rows} | self.live_hosts()
+            self.roster.keep(hosts)
+            is_alone = len(self.roster.ip_by_host) == 0
+            await self._clock.sleep_ms(
+                _FIRST_LIST_PAUSE_MS
+                if is_alone or self._lists < _FIRST_LISTS
+                else _LIST_PAUSE_MS
+            )
+            self._lists += 1
 
     def live_hosts(self) -> frozenset[str]:
         """Names of the hosts that are reachable, with this one."""
@@ -159,6 +182,7 @@
         ip, _ = settings_module.parse_address(state.caller_address)
         self.roster.learn(state.host, ip)
         self._loads.on_report(state.host, state.count_by_target)
+        self._on_peer_changes(state.changed_by_table)
 
     def _send(self, hosts: collections.abc.Iterable[str]) -> None:
         self._sequence += 1
@@ -177,6 +201,7 @@
             self._settings.caller_address,
             self._is_serving(),
             self._config_version(),
+            self._changed_by_table(),
             counts,
         )
         self._link.send(
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -6,14 +6,26 @@
 import logging
 import random
 
+import anyio
+
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
 
-WAIT_MS = 2_000
-"""Wait of one call for changes; a silent connection shows 1 s later, which
-keeps an outage of the connection below the 4 s that operators allow."""
+FLEET_POLL_MS = 400
+"""Interval at which some host's call for changes ends; the first host that
+learns of a change tells its peers, which then ask at once."""
+MIN_WAIT_MS = 2_000
+"""Shortest wait of a call for changes, while few hosts are known."""
+MAX_WAIT_MS = 10_000
+"""Longest wait; a store that swallowed the call is noticed after it."""
+GATHER_MS = 200
+"""Pause after a change, so that changes in quick succession take one call;
+a change has to be in force within 2.5 s."""
+NUDGE_MS = 1_000
+"""Shortest interval of calls that peers cause, so that a host that the store
+refuses does not flood it."""
 FIRST_BACKOFF_MS = 100
 """First pause after a failed call, above the time of an ordinary answer."""
 MAX_BACKOFF_MS = 800
@@ -33,7 +45,8 @@
         on_snapshot: Called with all rows of the table.
         on_changes: Called with changed and deleted rows, in order.
         on_regained: Called after failed calls, before the rows, with the
-            time since the last answer in ms.
+            length of the outage in ms.
+        count_hosts: Number of hosts that follow the table.
         clock: Clock of the host.
         rng: Source of randomness.
     """
@@ -45,10 +58,12 @@
         on_snapshot: OnRows,
         on_changes: OnRows,
         on_regained: collections.abc.Callable[[int], None],
+        count_hosts: collections.abc.Callable[[], int],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self.version: int | None = None
+        self.changed_version = 0
         self.last_answer_ms: int | None = None
         self.is_connected = False
         self._store = store
@@ -56,14 +71,23 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_regained = on_regained
+        self._count_hosts = count_hosts
         self._clock = clock
         self._rng = rng
         self._failures = 0
+        self._lost_ms = 0
+        self._nudged_ms = clock.now_ms
+        self._call: anyio.CancelScope | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if not await self._step():
+            is_answered = False
+            with anyio.CancelScope() as self._call:
+                is_answered = await self._step()
+            is_nudged = self._call.cancelled_caught
+            self._call = None
+            if not is_answered and not is_nudged:
                 ceiling_ms = min(
                     MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 8)
                 )
@@ -72,12 +96,38 @@
                     self._rng.randrange(ceiling_ms // 2, ceiling_ms)
                 )
 
+    def on_peer_version(self, changed_version: int) -> None:
+        """Ask the store at once if a peer has seen a newer change.
+
+        Args:
+            changed_version: Newest change of the table that a peer has seen.
+        """
+        now_ms = self._clock.now_ms
+        if (
+            self.version is None
+            or changed_version <= self.version
+            or now_ms - self._nudged_ms < NUDGE_MS
+            or self._call is None
+        ):
+            return
+        self._nudged_ms = now_ms
+        log.event(
+            _LOG,
+            'table behind a peer',
+            table=self._table,
+            version=self.version,
+            peer_version=changed_version,
+        )
+        self._call.cancel()
+
     async def _step(self) -> bool:
+        started_ms = self._clock.now_ms
+        wait_ms = self._wait_ms()
         if self.version is None:
             result: object = await self._store.list_rows(self._table)
         else:
             result = await self._store.follow(
-                self._table, self.version, WAIT_MS
+                self._table, self.version, wait_ms
             )
         if isinstance(result, stores.HistoryGone):
             log.event(
@@ -89,41 +139,54 @@
             self.version = None
             return True
         if isinstance(result, interface.Unavailable):
-            self._note_lost(result.detail)
+            # A call that was answered late shows that nothing was answered
+            # while it lasted; one that broke off shows nothing of the kind.
+            is_late = self._clock.now_ms - started_ms >= wait_ms
+            self._note_lost(
+                result.detail, started_ms if is_late else self._clock.now_ms
+            )
             return False
         assert isinstance(result, stores.Snapshot)
         self._note_answer(result.version)
         is_first = self.version is None
+        for row in result.rows:
+            self.changed_version = max(self.changed_version, row.version)
         self.version = max(result.version, self.version or 0)
         if is_first:
             self._on_snapshot(result.rows)
         elif result.rows:
             self._on_changes(result.rows)
+            with anyio.CancelScope(shield=True):
+                await self._clock.sleep_ms(GATHER_MS)
         return True
 
+    def _wait_ms(self) -> int:
+        wait_ms = FLEET_POLL_MS * self._count_hosts()
+        wait_ms = min(MAX_WAIT_MS, max(MIN_WAIT_MS, wait_ms))
+        # Hosts that start together must not call together for good.
+        return self._rng.randrange(wait_ms * 3 // 4, wait_ms)
+
     def _note_answer(self, version: int) -> None:
         now_ms = self._clock.now_ms
         if not self.is_connected:
-            silent_ms = (
-                None
-                if self.last_answer_ms is None
-                else now_ms - self.last_answer_ms
-            )
+            is_first = self.last_answer_ms is None
+            outage_ms = 0 if is_first else now_ms - self._lost_ms
             log.event(
                 _LOG,
                 'store reached',
                 table=self._table,
                 version=version,
-                silent_ms=silent_ms,
+                outage_ms=outage_ms,
             )
-            if silent_ms is not None:
-                self._on_regained(silent_ms)
+            if not is_first:
+                self._on_regained(outage_ms)
         self.is_connected = True
         self.last_answer_ms = now_ms
         self._failures = 0
 
-    def _note_lost(self, reason: str) -> None:
+    def _note_lost(self, reason: str, since_ms: int) -> None:
         if self.is_connected:
+            self._lost_ms = since_ms
             log.event(
                 _LOG,
                 'store lost',
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -40,6 +40,8 @@
         caller_address: `IP:PORT` of the callers' interface.
         is_serving: Whether callers may be sent to it.
         config_version: Version of the routing configuration in force.
+        changed_by_table: Newest change that it has seen, by table of the
+            platform's store.
         count_by_target: Its requests in progress by target.
     """
 
@@ -51,6 +53,7 @@
     caller_address: str
     is_serving: bool
     config_version: int
+    changed_by_table: dict[str, int]
     count_by_target: dict[str, int]
 
 
