--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -31,7 +31,7 @@
 
 _LOG = logging.getLogger(__name__)
 
-MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
 """Responses up to this size are complete before the caller gets a byte, so
 that one that breaks off can be replaced."""
 MIN_ATTEMPT_MS = 20
