Give peers the rows of the store; start the daemon without the commands

Cause: a host that the store refuses, or that starts during an outage, knew nothing newer than its last reading, and one that starts could not serve.

Changed: a host whose call failed, or whose peer tells of a newer change, reads the table from that peer over its own interface; seeds from the settings are peers before the store answers.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -117,7 +117,7 @@
     """Store, targets and one daemon."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        ports = free_ports(8)
+        ports = free_ports(9)
         self.store, self.front, self.ready, self.lookup = ports[:4]
         self.targets = {
             name: Target(name, port)
@@ -137,6 +137,7 @@
                     'caller_address': address(self.front),
                     'readiness_address': address(self.ready),
                     'directory_address': address(self.lookup),
+                    'peer_address': address(ports[8]),
                     'peer_port': ports[6],
                     'metrics_port': ports[7],
                     'store_address': address(self.store),
--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -10,6 +10,7 @@
 from tests.entry import fake_store
 from wigeonhatch import clock as clocks
 from wigeonhatch.entry import table_follower
+from wigeonhatch.platform import store as stores
 from wigeonhatch.standins import row_store
 
 
@@ -22,6 +23,7 @@
         self.snapshots: list[list[str]] = []
         self.changes: list[tuple[str, bool]] = []
         self.regained_ms: list[int] = []
+        self.peer_rows: stores.Snapshot | None = None
         self.follower = table_follower.TableFollower(
             typing.cast(typing.Any, self.store),
             'op',
@@ -31,10 +33,16 @@
             ),
             self.regained_ms.append,
             lambda: 7,
+            self._ask_peer,
             self.clock,
             random.Random(1),
         )
 
+    async def _ask_peer(
+        self, table: str, changed_version: int
+    ) -> stores.Snapshot | None:
+        return self.peer_rows
+
     async def run_for(self, duration_s: float = 0.05) -> None:
         """Let the follower run."""
         with anyio.move_on_after(duration_s):
@@ -141,3 +149,29 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
+
+
+def test_rows_of_a_peer_replace_an_unreachable_store() -> None:
+    """Guards against hosts that do not serve because they start in an outage.
+
+    Older rows of a peer are not taken over.
+    """
+
+    async def scenario() -> None:
+        record = _Record()
+        record.store.is_down = True
+        row = stores.StoredRow('a', b'{}', 5)
+        record.peer_rows = stores.Snapshot((row,), 7)
+        await record.run_for()
+        assert record.snapshots == [['a']]
+        assert record.follower.snapshot() == record.peer_rows
+        record.peer_rows = stores.Snapshot((), 6)
+        await record.run_for()
+        assert record.snapshots == [['a']]
+        record.store.is_down = False
+        record.store.rows.version = 7
+        record.store.rows.put('op', 'b', {})
+        await record.run_for()
+        assert record.changes == [('b', False)]
+
+    anyio.run(scenario)
--- a/wigeonhatch/cli/daemons.py
+++ b/wigeonhatch/cli/daemons.py
@@ -6,7 +6,6 @@
 
 from wigeonhatch import outcome
 from wigeonhatch import settings as settings_module
-from wigeonhatch.cli import reports
 
 
 def entry(settings: str) -> int:
@@ -19,7 +18,7 @@
     """
     loaded = settings_module.load_settings(settings)
     if isinstance(loaded, outcome.Failure):
-        return reports.report(loaded, '')
+        return _report(loaded)
     # The operators' commands start faster without the daemon.
     from wigeonhatch.entry import daemon
 
@@ -41,7 +40,13 @@
     path = settings or os.environ.get(edge_settings.SETTINGS_VARIABLE, '')
     loaded = settings_module.load_checked(path, edge_settings.EdgeSettings)
     if isinstance(loaded, outcome.Failure):
-        return reports.report(loaded, '')
+        return _report(loaded)
     from wigeonhatch.entry import edge_daemon
 
     return edge_daemon.run_edge(loaded.value)
+
+
+def _report(failure: outcome.Failure) -> int:
+    from wigeonhatch.cli import reports
+
+    return reports.report(failure, '')
--- a/wigeonhatch/cli/program.py
+++ b/wigeonhatch/cli/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections.abc
-import inspect
 import io
 import logging
 import os
@@ -11,13 +10,10 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
-from wigeonhatch.cli import _arguments
-from wigeonhatch.cli import commands
-from wigeonhatch.cli import reports
+from wigeonhatch.cli import daemons
 
 _LOG = logging.getLogger(__name__)
 _INTERRUPTED = 130
-_HELP = frozenset({'help', '--help', '-h'})
 
 
 def main() -> None:
@@ -54,6 +50,8 @@
         # stack.
         if logging.getLogger().handlers:
             _LOG.exception('the command failed')
+        from wigeonhatch.cli import reports
+
         return reports.report(
             outcome.Failure(
                 codes.ResultCode.INTERNAL, f'{type(error).__name__}: {error}'
@@ -63,43 +61,15 @@
 
 
 def _run(arguments: collections.abc.Sequence[str]) -> int:
-    if not arguments or arguments[0] in _HELP:
-        return _print_help(arguments[1:2])
-    name, rest = arguments[0], arguments[1:]
-    command = commands.COMMAND_BY_NAME.get(name)
-    if command is None:
-        return _refuse(f'unknown command {name[:80]!r}', name, rest)
-    if any(argument in _HELP - {'help'} for argument in rest):
-        return _print_help([name])
-    bound = _arguments.bind(command, rest, commands.SWITCHES)
-    if isinstance(bound, outcome.Failure):
-        return _refuse(bound.detail, name, rest)
-    return bound.value()
-
-
-def _refuse(
-    detail: str, name: str, rest: collections.abc.Sequence[str]
-) -> int:
-    hint = f'wigeonhatch {name} --help'
-    if name not in commands.COMMAND_BY_NAME:
-        hint = 'wigeonhatch --help'
-    return reports.report(
-        outcome.Failure(codes.ResultCode.USAGE, f'{detail}\nsee `{hint}`'),
-        str('--json' in rest),
-    )
-
-
-def _print_help(names: collections.abc.Sequence[str]) -> int:
-    for name in names:
-        command = commands.COMMAND_BY_NAME.get(name)
-        if command is None:
-            return _refuse(f'unknown command {name[:80]!r}', name, ())
-        print(inspect.getdoc(command))
-        return codes.INFO_BY_CODE[codes.ResultCode.OK].exit_status
-    print('wigeonhatch COMMAND ...\n\nCommands:')
-    for name, command in commands.COMMAND_BY_NAME.items():
-        summary = (inspect.getdoc(command) or '').partition('\n')[0]
-        print(f'  {name:8} {summary}')
-    print('\n`wigeonhatch COMMAND --help` shows options and examples.')
-    print('Exit statuses are those of `wigeonhatch codes`.')
-    return codes.INFO_BY_CODE[codes.ResultCode.OK].exit_status
+    paths = arguments[1:]
+    if (
+        arguments[:1] == ['edge']
+        and len(paths) <= 1
+        and not any(path.startswith('-') or path == 'help' for path in paths)
+    ):
+        # The operators' commands would add to the memory of the daemon and to
+        # the time of its start.
+        return daemons.edge(*paths)
+    from wigeonhatch.cli import dispatch
+
+    return dispatch.run(arguments)
--- a/wigeonhatch/entry/directory.py
+++ b/wigeonhatch/entry/directory.py
@@ -1,19 +1,21 @@
-"""Readiness, lookups of hosts, and metrics of an entry host."""
+"""Readiness, lookups of hosts, metrics, and rows for peers."""
 
 from __future__ import annotations
 
 import collections.abc
 import typing
 
+from wigeonhatch.peers import row_share
 from wigeonhatch.platform import edge
 from wigeonhatch.platform import names
 from wigeonhatch.requests import _asgi
-from wigeonhatch.requests import _head
+from wigeonhatch.requests import _fields
 
 METRICS_PATH = '/metrics'
 _MAX_ADDRESSES = 64
 """Addresses of which a caller takes note."""
 _JSON = (b'content-type', b'application/json')
+_BINARY = (b'content-type', b'application/msgpack')
 _TEXT = (b'content-type', b'text/plain; version=0.0.4')
 
 
@@ -25,6 +27,7 @@
         find_addresses: Addresses of hosts for a failure domain and region.
         ttl_ms: Time for which a lookup counts in ms.
         expose: Renders the metrics.
+        read_rows: Rows of the store that this host gives to peers.
     """
 
     def __init__(
@@ -33,11 +36,13 @@
         find_addresses: collections.abc.Callable[[str, str], list[str]],
         ttl_ms: int,
         expose: collections.abc.Callable[[], bytes],
+        read_rows: row_share.ReadRows,
     ) -> None:
         self._is_serving = is_serving
         self._find_addresses = find_addresses
         self._ttl_ms = ttl_ms
         self._expose = expose
+        self._read_rows = read_rows
 
     async def __call__(
         self,
@@ -70,9 +75,12 @@
             return (200 if self._is_serving() else 503), _TEXT, b''
         if path == METRICS_PATH:
             return 200, _TEXT, self._expose()
+        query = _fields.parse_query(scope['query_string'])
+        if path == row_share.ROWS_PATH:
+            rows = row_share.answer(query, self._read_rows)
+            return (503, _TEXT, b'') if rows is None else (200, _BINARY, rows)
         if path != names.DIRECTORY_PATH:
             return 404, _TEXT, b''
-        query = _head.parse_query(scope['query_string'])
         addresses = self._find_addresses(
             query.get('zone', ''), query.get('region', '')
         )[:_MAX_ADDRESSES]
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -147,10 +147,12 @@
             self._fleet.caller_addresses,
             min(DIRECTORY_TTL_MS, settings.bounds.directory_ttl_max),
             self._metrics.expose,
+            self._read_rows,
         )
         addresses = (
             settings.readiness_address,
             settings.directory_address,
+            settings.peer_address,
             f'{settings.ip}:{settings.metrics_port}',
         )
         servers = [
@@ -199,12 +201,17 @@
                 on_changes,
                 catalog.on_store_regained,
                 lambda: len(self._fleet.live_hosts()),
+                self._fleet.ask_peer,
                 self._clock,
                 self._rng,
             )
             for table, (on_snapshot, on_changes) in appliers_by_table.items()
         }
 
+    def _read_rows(self, table: str) -> stores.Snapshot | None:
+        follower = self._follower_by_table.get(table)
+        return None if follower is None else follower.snapshot()
+
     def _on_peer_changes(self, changed_by_table: dict[str, int]) -> None:
         for table, version in changed_by_table.items():
             follower = self._follower_by_table.get(table)
--- a/wigeonhatch/entry/edge_settings.py
+++ b/wigeonhatch/entry/edge_settings.py
@@ -55,6 +55,9 @@
         caller_address: `IP:PORT` of the callers' interface.
         readiness_address: `IP:PORT` of the readiness check.
         directory_address: `IP:PORT` where callers look hosts up.
+        peer_address: `IP:PORT` where peers read rows of the store; the port
+            is the same on all hosts.
+        seeds: Peer addresses of hosts to know before the store answers.
         peer_port: UDP port of the hosts' exchange, the same on all hosts.
         metrics_port: TCP port of the metrics.
         store_address: `IP:PORT` of the platform's store.
@@ -70,10 +73,12 @@
     caller_address: settings.Address
     readiness_address: settings.Address
     directory_address: settings.Address
+    peer_address: settings.Address
     peer_port: settings.Port
     metrics_port: settings.Port
     store_address: settings.Address
     bounds: Bounds
+    seeds: list[settings.Address] = dataclasses.field(default_factory=list)
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     limits: settings.Limits = dataclasses.field(
         default_factory=settings.Limits
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -11,6 +11,7 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.peers import roster as rosters
+from wigeonhatch.peers import row_share
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
@@ -57,6 +58,13 @@
     ) -> None:
         self.peers = state_link.PeerTable(clock)
         self.roster = rosters.Roster(settings.host)
+        for seed in settings.seeds:
+            ip, _ = settings_module.parse_address(seed)
+            if ip != settings.ip:
+                self.roster.learn(f'seed {ip}', ip)
+        _, self._rows_port = settings_module.parse_address(
+            settings.peer_address
+        )
         self._settings = settings
         self._store = store
         self._loads = load_table
@@ -147,6 +155,30 @@
             )
             self._lists += 1
 
+    async def ask_peer(
+        self, table: str, changed_version: int
+    ) -> stores.Snapshot | None:
+        """Read a table from the peer that has seen its newest change.
+
+        Args:
+            table: Name of the table.
+            changed_version: Newest change that this host has seen.
+
+        Returns:
+            The rows; None if no peer has seen a newer change.
+        """
+        newer = [
+            (state.changed_by_table.get(table, 0), state.host)
+            for state in self.peers.live()
+        ]
+        version, host = max(newer, default=(0, ''))
+        if version <= changed_version:
+            return None
+        ip = self.roster.ip_by_host.get(host)
+        if ip is None:
+            return None
+        return await row_share.fetch(ip, self._rows_port, table)
+
     def live_hosts(self) -> frozenset[str]:
         """Names of the hosts that are reachable, with this one."""
         return frozenset(
@@ -204,10 +236,7 @@
             self._changed_by_table(),
             counts,
         )
-        self._link.send(
-            state,
-            [
-                (self.roster.ip_by_host[host], self._settings.peer_port)
-                for host in hosts
-            ],
-        )
+        # A seed may be listed under its name as well.
+        ips = {self.roster.ip_by_host[host] for host in hosts}
+        port = self._settings.peer_port
+        self._link.send(state, [(ip, port) for ip in sorted(ips)])
--- a/wigeonhatch/entry/not_ready.py
+++ b/wigeonhatch/entry/not_ready.py
@@ -7,7 +7,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.peers import peers_pb2
-from wigeonhatch.requests import _head
+from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import application as applications
 
@@ -29,7 +29,7 @@
     if scope['type'] != 'http':
         return
     by_name = dict(scope['headers'])
-    request_id = _head.choose_request_id(
+    request_id = _fields.choose_request_id(
         by_name.get(b'wigeonhatch-request-id')
     )
     status, headers, body = _replies.render_refusal(_FAILURE, request_id)
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -34,6 +34,9 @@
 
 Rows = collections.abc.Sequence[stores.StoredRow]
 OnRows = collections.abc.Callable[[Rows], None]
+AskPeer = collections.abc.Callable[
+    [str, int], collections.abc.Awaitable[stores.Snapshot | None]
+]
 
 
 class TableFollower:
@@ -47,6 +50,8 @@
         on_regained: Called after failed calls, before the rows, with the
             length of the outage in ms.
         count_hosts: Number of hosts that follow the table.
+        ask_peer: Reads the table from a peer that has seen a newer change
+            than the given one; None if there is no such peer.
         clock: Clock of the host.
         rng: Source of randomness.
     """
@@ -59,6 +64,7 @@
         on_changes: OnRows,
         on_regained: collections.abc.Callable[[int], None],
         count_hosts: collections.abc.Callable[[], int],
+        ask_peer: AskPeer,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -72,6 +78,8 @@
         self._on_changes = on_changes
         self._on_regained = on_regained
         self._count_hosts = count_hosts
+        self._ask_peer = ask_peer
+        self._row_by_key: dict[str, stores.StoredRow] = {}
         self._clock = clock
         self._rng = rng
         self._failures = 0
@@ -85,9 +93,8 @@
             is_answered = False
             with anyio.CancelScope() as self._call:
                 is_answered = await self._step()
-            is_nudged = self._call.cancelled_caught
             self._call = None
-            if not is_answered and not is_nudged:
+            if not is_answered and not await self._learn_from_peer():
                 ceiling_ms = min(
                     MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 8)
                 )
@@ -96,8 +103,14 @@
                     self._rng.randrange(ceiling_ms // 2, ceiling_ms)
                 )
 
+    def snapshot(self) -> stores.Snapshot | None:
+        """Rows as this host has read them; None before the first reading."""
+        if self.version is None:
+            return None
+        return stores.Snapshot(tuple(self._row_by_key.values()), self.version)
+
     def on_peer_version(self, changed_version: int) -> None:
-        """Ask the store at once if a peer has seen a newer change.
+        """Ask the peers at once if one has seen a newer change.
 
         Args:
             changed_version: Newest change of the table that a peer has seen.
@@ -149,17 +162,51 @@
         assert isinstance(result, stores.Snapshot)
         self._note_answer(result.version)
         is_first = self.version is None
-        for row in result.rows:
-            self.changed_version = max(self.changed_version, row.version)
         self.version = max(result.version, self.version or 0)
         if is_first:
-            self._on_snapshot(result.rows)
+            self._replace(result.rows)
         elif result.rows:
-            self._on_changes(result.rows)
+            self._change(result.rows)
             with anyio.CancelScope(shield=True):
                 await self._clock.sleep_ms(GATHER_MS)
         return True
 
+    async def _learn_from_peer(self) -> bool:
+        """Take over what a peer has read, if that is newer."""
+        found = await self._ask_peer(self._table, self.changed_version)
+        if found is None or found.version <= (self.version or 0):
+            return False
+        log.event(
+            _LOG,
+            'rows of a peer taken over',
+            table=self._table,
+            version=found.version,
+            previous=self.version,
+        )
+        if not self.is_connected and self.version is not None:
+            self._on_regained(self._clock.now_ms - self._lost_ms)
+        self.version = found.version
+        self._replace(found.rows)
+        return True
+
+    def _replace(self, rows: Rows) -> None:
+        self._row_by_key = {row.key: row for row in rows}
+        self._note_versions(rows)
+        self._on_snapshot(rows)
+
+    def _change(self, rows: Rows) -> None:
+        for row in rows:
+            if row.is_deleted:
+                self._row_by_key.pop(row.key, None)
+            else:
+                self._row_by_key[row.key] = row
+        self._note_versions(rows)
+        self._on_changes(rows)
+
+    def _note_versions(self, rows: Rows) -> None:
+        for row in rows:
+            self.changed_version = max(self.changed_version, row.version)
+
     def _wait_ms(self) -> int:
         wait_ms = FLEET_POLL_MS * self._count_hosts()
         wait_ms = min(MAX_WAIT_MS, max(MIN_WAIT_MS, wait_ms))
--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -13,6 +13,7 @@
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.requests import _asgi
+from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _head
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import attempts
@@ -103,7 +104,7 @@
         """
         started_ms = self._clock.now_ms
         by_name = dict(scope['headers'])
-        request_id = _head.choose_request_id(by_name.get(fields.REQUEST_ID))
+        request_id = _fields.choose_request_id(by_name.get(fields.REQUEST_ID))
         parsed = _head.parse_head(
             scope,
             request_id,
@@ -162,7 +163,7 @@
         else:
             answer = outcome.Failure(codes.ResultCode.NOT_FOUND)
         if isinstance(answer, outcome.Failure):
-            request_id = _head.choose_request_id(None)
+            request_id = _fields.choose_request_id(None)
             await self._refuse(send, answer, request_id)
             return
         content = answer.value
@@ -184,7 +185,7 @@
         versioned = self._config.current
         if versioned is None:
             return outcome.Failure(codes.ResultCode.NOT_READY)
-        query = _head.parse_query(scope['query_string'])
+        query = _fields.parse_query(scope['query_string'])
         service = query.get('service', '')
         if service not in versioned.config.service_by_name:
             return outcome.Failure(
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -13,11 +13,14 @@
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.requests import _asgi
-from wigeonhatch.requests import _head
+from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _replies
-from wigeonhatch.requests import application as applications
 
 KEEP_ALIVE_S = 30
+Application = collections.abc.Callable[
+    [_asgi.Scope, _asgi.Receive, _asgi.Send],
+    collections.abc.Awaitable[None],
+]
 # A refused caller that is still sending gets this long to read the refusal;
 # an immediate close would reset the connection and discard it.
 _LINGER_S = 2.0
@@ -150,7 +153,7 @@
 
     def _write_refusal(self, failure: outcome.Failure) -> None:
         status, headers, body = _replies.render_refusal(
-            failure, _head.choose_request_id(None)
+            failure, _fields.choose_request_id(None)
         )
         head = b''.join(b'%b: %b\r\n' % item for item in headers)
         self.transport.write(
@@ -173,7 +176,7 @@
 
 
 def build_server_config(
-    application: applications.Application,
+    application: Application,
     address: str,
     limits: settings.Limits,
 ) -> uvicorn_config.Config:
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import httpcore
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import outcome
-from wigeonhatch.config import model
 from wigeonhatch.targets import _errors
 from wigeonhatch.targets import _pool
 from wigeonhatch.targets import request
 from wigeonhatch.targets import response as responses
 
+if typing.TYPE_CHECKING:
+    # Hosts on a platform have no configuration of this kind.
+    from wigeonhatch.config import model
+
 CONNECT_TIMEOUT_MS = 1_000
 # uvloop rounds timers to ms, so that one may fire just before its time.
 _TIMER_TOLERANCE_S = 0.005
