Notice the return of the store within a second

Changed: a broken call closes the idle connections as well, and calls during an outage wait 0.1 s for changes.

--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -20,6 +20,8 @@
 """Shortest wait of a call for changes, while few hosts are known."""
 MAX_WAIT_MS = 10_000
 """Longest wait; a store that swallowed the call is noticed after it."""
+RETURN_WAIT_MS = 100
+"""Wait of a call during an outage, so that its end is noticed soon."""
 GATHER_MS = 200
 """Pause after a change, so that changes in quick succession take one call;
 a change has to be in force within 2.5 s."""
@@ -208,6 +210,8 @@
             self.changed_version = max(self.changed_version, row.version)
 
     def _wait_ms(self) -> int:
+        if not self.is_connected:
+            return RETURN_WAIT_MS
         wait_ms = FLEET_POLL_MS * self._count_hosts()
         wait_ms = min(MAX_WAIT_MS, max(MIN_WAIT_MS, wait_ms))
         # Hosts that start together must not call together for good.
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -224,6 +224,12 @@
             else version.ver
         )
 
+    async def _drop_idle(self) -> None:
+        """Close idle connections, which may be as silent as a broken one."""
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
     async def _call(
         self,
         method: str,
@@ -253,6 +259,7 @@
         except _NOT_SENT as error:
             return interface.Unavailable(type(error).__name__)
         except _BROKEN as error:
+            await self._drop_idle()
             return interface.Unknown(type(error).__name__)
         return _Reply(response.status, response.content)
 
