Keep attempts at slow targets, and all of them while stopping

Changed: the patience follows the longest usual time plus the expected wait, is unlimited while no request has been served, and a stopping host gives nothing up. Tests fail before the change for each of the cases.

--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -105,7 +105,9 @@
         )
 
     def run(
-        self, kind: model.RequestKind = model.RequestKind.IDEMPOTENT
+        self,
+        kind: model.RequestKind = model.RequestKind.IDEMPOTENT,
+        within_s: float = 5,
     ) -> relays.Relayed | relays.Refused:
         """Run one request."""
         route = dataclasses.replace(
@@ -136,7 +138,7 @@
         body.is_received = True
 
         async def main() -> relays.Relayed | relays.Refused:
-            with anyio.fail_after(5):
+            with anyio.fail_after(within_s):
                 return await self.relay.run(request, body, self.control)
 
         result = anyio.run(main)
@@ -259,3 +261,30 @@
     code, ran = refused(rig.run())
     assert (code, ran) == (CODE.NO_CAPACITY, codes.Ran.NOT_RUN)
     assert rig.client.targets == []
+
+
+def test_silent_target_is_given_up_for_another() -> None:
+    """Guards against requests that wait at a dead target to their end."""
+    rig = _Rig(None, _Response)
+    rig.scene.loads.on_served('board', True, 10)
+    rig.client.on_send = lambda: rig.scene.clock.advance(450)
+    assert isinstance(rig.run(), relays.Relayed)
+    assert len(set(rig.client.targets)) == 2
+
+
+@pytest.mark.parametrize('reason', ['stopping', 'budget', 'unknown', 'once'])
+def test_attempt_is_kept_where_giving_up_does_not_help(reason: str) -> None:
+    """Guards against a stop that breaks off requests at work.
+
+    The same holds without a retry left, while the usual time is not known,
+    and for requests that may run once only.
+    """
+    rig = _Rig(None, retries=0 if reason == 'budget' else 10)
+    if reason != 'unknown':
+        rig.scene.loads.on_served('board', True, 10)
+    rig.relay.is_stopping = reason == 'stopping'
+    rig.client.on_send = lambda: rig.scene.clock.advance(450)
+    kind = ONCE if reason == 'once' else model.RequestKind.IDEMPOTENT
+    with pytest.raises(TimeoutError):
+        rig.run(kind, within_s=0.6)
+    assert len(rig.client.targets) == 1
--- a/wigeonhatch/balance/loads.py
+++ b/wigeonhatch/balance/loads.py
@@ -68,6 +68,22 @@
             known = self._duration_by_place.get((service, not is_home))
         return DEFAULT_DURATION_MS if known is None else known
 
+    def longest_ms(self, service: str) -> float | None:
+        """Smoothed time of the requests that take longest in ms.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The time; None while no request has been served.
+        """
+        known = [
+            duration
+            for (name, _), duration in self._duration_by_place.items()
+            if name == service
+        ]
+        return max(known, default=None)
+
     def in_progress(self, target: str) -> int:
         """Requests of all hosts in progress at a target."""
         return self._own_by_target[target] + self._peer_by_target[target]
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -110,18 +110,19 @@
             clock,
         )
         self._follower_by_table = self._build_followers()
+        self._relay = relays.Relay(
+            self._picker,
+            self._loads,
+            self._ejections,
+            self._warmups,
+            self._targets,
+            self._client,
+            self._build_budget,
+            clock,
+        )
         self._application = edges.EdgeApplication(
             self._routes,
-            relays.Relay(
-                self._picker,
-                self._loads,
-                self._ejections,
-                self._warmups,
-                self._targets,
-                self._client,
-                self._build_budget,
-                clock,
-            ),
+            self._relay,
             self._region_of_target,
             self._on_finished,
             clock,
@@ -241,6 +242,7 @@
         started_ms = clock.now_ms
         self._is_stopping = True
         application.is_stopping = True
+        self._relay.is_stopping = True
         end_ms = started_ms + self._settings.bounds.stop_grace - EXIT_MARGIN_MS
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._fleet.leave)
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -152,6 +152,7 @@
         self._ejections = ejections
         self._warmups = warmups
         self._targets = targets
+        self.is_stopping = False
         self._client = client
         self._clock = clock
         self._answers = silence.AnswerTimes(clock)
@@ -251,7 +252,7 @@
             with anyio.CancelScope() as scope:
                 control.enter(scope)
                 watch = self._watch_silence(
-                    request, progress, body, name, scope
+                    request, progress, body, picked, scope
                 )
                 result = await self._exchange(request, body, target)
             cause = control.leave()
@@ -321,27 +322,37 @@
         request: RelayRequest,
         progress: _Progress,
         body: bodies.RequestBody,
-        target: str,
+        picked: pickers.Pick,
         scope: anyio.CancelScope,
     ) -> silence.SilenceWatch:
         """Give an attempt up once its target has answered nobody for long.
 
         A target that answers other requests is slow, and sending the request
-        once more would only add to its load.
+        once more would only add to its load. A stopping host gives nothing
+        up, since it may not be there for the second attempt.
         """
-        is_last = progress.sends + 1 >= request.route.max_attempts
         budget = self._budget_by_service[request.service]
 
         def on_silent() -> bool:
             # Without a retry, the attempt may still succeed.
-            if budget.has_token:
+            is_given_up = budget.has_token and not self.is_stopping
+            if is_given_up:
                 scope.cancel()
-            return budget.has_token
+            return is_given_up
 
-        watch = silence.SilenceWatch(self._answers, target, on_silent)
-        if request.route.is_idempotent and body.is_available and not is_last:
-            usual_ms = self._loads.duration_ms(request.service, False)
-            watch.start(max(MIN_PATIENCE_MS, PATIENCE_FACTOR * usual_ms))
+        watch = silence.SilenceWatch(
+            self._answers, picked.target.name, on_silent
+        )
+        is_last = progress.sends + 1 >= request.route.max_attempts
+        usual_ms = self._loads.longest_ms(request.service)
+        if (
+            request.route.is_idempotent
+            and body.is_available
+            and not is_last
+            and usual_ms is not None
+        ):
+            patience_ms = PATIENCE_FACTOR * usual_ms + picked.wait_ms
+            watch.start(max(MIN_PATIENCE_MS, patience_ms))
         return watch
 
     async def _exchange(
