--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -16,6 +16,7 @@
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model as request_model
 from wigeonhatch.requests import relay as relays
+from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import retry
 from wigeonhatch.routes import model
 from wigeonhatch.targets import request as target_request
@@ -108,7 +109,7 @@
         self,
         kind: model.RequestKind = model.RequestKind.IDEMPOTENT,
         within_s: float = 5,
-    ) -> relays.Relayed | relays.Refused:
+    ) -> relay_model.Relayed | relay_model.Refused:
         """Run one request."""
         route = dataclasses.replace(
             test_table.build_route('r', '/a/', ('board', 1)),
@@ -117,7 +118,7 @@
             has_affinity=True,
         )
         now_ms = self.scene.clock.now_ms
-        request = relays.RelayRequest(
+        request = relay_model.RelayRequest(
             b'r1',
             route,
             'board',
@@ -137,7 +138,7 @@
         body = bodies.RequestBody(0, read_part, 100)
         body.is_received = True
 
-        async def main() -> relays.Relayed | relays.Refused:
+        async def main() -> relay_model.Relayed | relay_model.Refused:
             with anyio.fail_after(within_s):
                 return await self.relay.run(request, body, self.control)
 
@@ -148,10 +149,10 @@
 
 
 def refused(
-    result: relays.Relayed | relays.Refused,
+    result: relay_model.Relayed | relay_model.Refused,
 ) -> tuple[codes.ResultCode, codes.Ran]:
     """Result code of a refusal, and whether the request ran."""
-    assert isinstance(result, relays.Refused)
+    assert isinstance(result, relay_model.Refused)
     return result.failure.code, result.failure.ran
 
 
@@ -171,7 +172,7 @@
     """Guards against responses that differ from the target's."""
     rig = _Rig(lambda: _Response(parts=(b'a', b'b')))
     result = rig.run()
-    assert isinstance(result, relays.Relayed)
+    assert isinstance(result, relay_model.Relayed)
     assert (result.status, result.body) == (200, b'ab')
     assert SIGNED in result.headers
     sent = dict(rig.client.heads[0].headers)
@@ -185,7 +186,7 @@
 ) -> None:
     """Guards against refusals while another target has room."""
     rig = _Rig(shed, _Response)
-    assert isinstance(rig.run(kind), relays.Relayed)
+    assert isinstance(rig.run(kind), relay_model.Relayed)
     assert len(set(rig.client.targets)) == 2
 
 
@@ -210,7 +211,7 @@
 def test_idempotent_request_is_repeated() -> None:
     """Guards against failures that another target could have served."""
     rig = _Rig(LOST, _Response)
-    assert isinstance(rig.run(), relays.Relayed)
+    assert isinstance(rig.run(), relay_model.Relayed)
 
 
 def test_shed_after_an_unknown_attempt_is_not_called_not_run() -> None:
@@ -231,7 +232,7 @@
 def test_unreached_targets_cost_no_retry() -> None:
     """Guards against refusals because some targets are down."""
     rig = _Rig(CONNECT_FAILED, CONNECT_FAILED, _Response, retries=0)
-    assert isinstance(rig.run(ONCE), relays.Relayed)
+    assert isinstance(rig.run(ONCE), relay_model.Relayed)
     assert len(set(rig.client.targets)) == 3
 
 
@@ -239,11 +240,11 @@
     """Guards against a target's response that is replaced by a refusal."""
     rig = _Rig(lambda: _Response(500), shed)
     result = rig.run()
-    assert isinstance(result, relays.Relayed)
+    assert isinstance(result, relay_model.Relayed)
     assert result.status == 500
     rig = _Rig(lambda: _Response(500))
     result = rig.run(ONCE)
-    assert isinstance(result, relays.Relayed)
+    assert isinstance(result, relay_model.Relayed)
 
 
 def test_caller_that_leaves_ends_the_attempt() -> None:
@@ -268,7 +269,7 @@
     rig = _Rig(None, _Response)
     rig.scene.loads.on_served('board', True, 10)
     rig.client.on_send = lambda: rig.scene.clock.advance(450)
-    assert isinstance(rig.run(), relays.Relayed)
+    assert isinstance(rig.run(), relay_model.Relayed)
     assert len(set(rig.client.targets)) == 2
 
 
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -17,6 +17,7 @@
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import model
 from wigeonhatch.requests import relay as relays
+from wigeonhatch.requests import relay_model
 from wigeonhatch.routes import table as tables
 
 _LOG = logging.getLogger(__name__)
@@ -92,9 +93,9 @@
         reply = _asgi.AsgiReply(send, scope['method'] == 'HEAD')
         control = model.RequestControl()
         request = self._parse(scope, received_ms)
-        result: relays.Relayed | relays.Refused
+        result: relay_model.Relayed | relay_model.Refused
         if isinstance(request, outcome.Failure):
-            result = relays.Refused(request, pickers.MIN_RETURN_MS)
+            result = relay_model.Refused(request, pickers.MIN_RETURN_MS)
         else:
             result = await self._receive_and_run(
                 scope, receive, request, reply, control
@@ -107,10 +108,10 @@
         self,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
-        request: relays.RelayRequest,
+        request: relay_model.RelayRequest,
         reply: _asgi.AsgiReply,
         control: model.RequestControl,
-    ) -> relays.Relayed | relays.Refused:
+    ) -> relay_model.Relayed | relay_model.Refused:
         config = self._routes.config
         assert config is not None
         limits = config.limits
@@ -134,7 +135,7 @@
             if failure is not None:
                 if failure.code is codes.ResultCode.CALLER_GONE:
                     control.on_caller_gone()
-                return relays.Refused(failure, pickers.MIN_RETURN_MS)
+                return relay_model.Refused(failure, pickers.MIN_RETURN_MS)
         try:
             return await self._relay.run(request, body, control)
         except Exception:
@@ -145,7 +146,7 @@
 
     def _parse(
         self, scope: _asgi.Scope, received_ms: int
-    ) -> relays.RelayRequest | outcome.Failure:
+    ) -> relay_model.RelayRequest | outcome.Failure:
         config = self._routes.config
         if config is None or self.is_refusing:
             return outcome.Failure(codes.ResultCode.NOT_READY)
@@ -167,7 +168,7 @@
         path = raw_path
         if scope['query_string']:
             path += b'?' + scope['query_string']
-        return relays.RelayRequest(
+        return relay_model.RelayRequest(
             request_id=said.request_id,
             route=route,
             service=self._routes.choose_service(route),
@@ -184,11 +185,11 @@
     async def _answer(
         self,
         reply: _asgi.AsgiReply,
-        request: relays.RelayRequest | outcome.Failure,
-        result: relays.Relayed | relays.Refused,
+        request: relay_model.RelayRequest | outcome.Failure,
+        result: relay_model.Relayed | relay_model.Refused,
     ) -> None:
         headers: list[tuple[bytes, bytes]]
-        if isinstance(result, relays.Relayed):
+        if isinstance(result, relay_model.Relayed):
             status, body = result.status, result.body
             headers = [
                 *result.headers,
@@ -197,7 +198,7 @@
         else:
             request_id = (
                 request.request_id.decode('ascii', 'replace')
-                if isinstance(request, relays.RelayRequest)
+                if isinstance(request, relay_model.RelayRequest)
                 else ''
             )
             _, headers, body = _replies.render_refusal(
@@ -214,16 +215,16 @@
 
     def _report(
         self,
-        request: relays.RelayRequest | outcome.Failure,
-        result: relays.Relayed | relays.Refused,
+        request: relay_model.RelayRequest | outcome.Failure,
+        result: relay_model.Relayed | relay_model.Refused,
         received_ms: int,
     ) -> None:
         took_ms = self._clock.now_ms - received_ms
         service = region = request_id = route = ''
-        if isinstance(request, relays.RelayRequest):
+        if isinstance(request, relay_model.RelayRequest):
             service, route = request.service, request.route.name
             request_id = request.request_id.decode('ascii', 'replace')
-        if isinstance(result, relays.Relayed):
+        if isinstance(result, relay_model.Relayed):
             region = self._region_of(result.target)
             self._on_finished(service, region, codes.ResultCode.OK, took_ms)
             return
@@ -246,8 +247,8 @@
         )
 
 
-def _refuse(code: codes.ResultCode) -> relays.Refused:
-    return relays.Refused(outcome.Failure(code), pickers.MIN_RETURN_MS)
+def _refuse(code: codes.ResultCode) -> relay_model.Refused:
+    return relay_model.Refused(outcome.Failure(code), pickers.MIN_RETURN_MS)
 
 
 def _read_length(by_name: dict[bytes, bytes]) -> int:
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import logging
 
 import anyio
@@ -19,21 +20,16 @@
 from wigeonhatch.balance import silence
 from wigeonhatch.balance import warmup
 from wigeonhatch.platform import edge
+from wigeonhatch.requests import _exchange
 from wigeonhatch.requests import body as bodies
-from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import model
+from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import retry
-from wigeonhatch.routes import model as routes
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import registry
-from wigeonhatch.targets import request as target_request
-from wigeonhatch.targets import response as target_response
 
 _LOG = logging.getLogger(__name__)
 
-MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
-"""Responses up to this size are complete before the caller gets a byte, so
-that one that breaks off can be replaced."""
 MIN_ATTEMPT_MS = 20
 """Time below which no request is sent; a round trip takes up to 90 ms."""
 PATIENCE_FACTOR = 4.0
@@ -45,71 +41,9 @@
 before its caller gives up."""
 MAX_SKIPS = 3
 """Targets that may be skipped because no connection could be opened."""
-_MISDIRECTED = 421
 _SERVER_ERROR = 500
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayRequest:
-    """Checked head of a request.
-
-    Args:
-        request_id: Identity of this attempt of the caller.
-        route: Route of the request.
-        service: Service that runs it.
-        config_version: Version of the configuration that selected both.
-        method: HTTP method.
-        path: Path with query, as the caller sent it.
-        host_name: Value of the `Host` field.
-        headers: End-to-end header fields, names in lower case.
-        affinity_key: Object of the request; empty for none.
-        received_ms: Time of the head on the monotonic clock in ms.
-        end_ms: End of the request on the monotonic clock in ms.
-    """
-
-    request_id: bytes
-    route: routes.Route
-    service: str
-    config_version: int
-    method: str
-    path: bytes
-    host_name: bytes
-    headers: fields.HeaderTuple
-    affinity_key: bytes
-    received_ms: int
-    end_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Relayed:
-    """Complete response of a target.
-
-    Args:
-        status: HTTP status.
-        headers: Header fields for the caller, without the length.
-        body: The whole body.
-        target: Name of the target.
-    """
-
-    status: int
-    headers: fields.HeaderTuple
-    body: bytes
-    target: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """No target serves the request.
-
-    Args:
-        failure: Why, and whether the request may have run.
-        return_ms: Time after which the caller may return in ms.
-    """
-
-    failure: outcome.Failure
-    return_ms: int
-
-
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """What the attempts of one request have shown so far."""
@@ -119,7 +53,7 @@
     skips: int = 0
     may_have_run: bool = False
     failure: outcome.Failure | None = None
-    response: Relayed | None = None
+    response: relay_model.Relayed | None = None
 
 
 class Relay:
@@ -162,10 +96,10 @@
 
     async def run(
         self,
-        request: RelayRequest,
+        request: relay_model.RelayRequest,
         body: bodies.RequestBody,
         control: model.RequestControl,
-    ) -> Relayed | Refused:
+    ) -> relay_model.Relayed | relay_model.Refused:
         """Run a request until a target has answered it or none can.
 
         Args:
@@ -205,12 +139,12 @@
             result = await self._attempt(
                 request, body, control, picked, progress
             )
-            if isinstance(result, Relayed):
+            if isinstance(result, relay_model.Relayed):
                 return result
 
     def _may_repeat(
         self,
-        request: RelayRequest,
+        request: relay_model.RelayRequest,
         progress: _Progress,
         body: bodies.RequestBody,
     ) -> bool:
@@ -231,12 +165,12 @@
 
     async def _attempt(
         self,
-        request: RelayRequest,
+        request: relay_model.RelayRequest,
         body: bodies.RequestBody,
         control: model.RequestControl,
         picked: pickers.Pick,
         progress: _Progress,
-    ) -> Relayed | None:
+    ) -> relay_model.Relayed | None:
         target = picked.target
         name = target.name
         is_cold = self._targets.is_cold(name)
@@ -247,14 +181,21 @@
         started_ms = self._clock.now_ms
         self._loads.start(name)
         self._ejections.on_start(name)
-        result: Relayed | outcome.Failure | None = None
+        result: relay_model.Relayed | outcome.Failure | None = None
         try:
             with anyio.CancelScope() as scope:
                 control.enter(scope)
                 watch = self._watch_silence(
                     request, progress, body, picked, scope
                 )
-                result = await self._exchange(request, body, target)
+                result = await _exchange.exchange(
+                    self._client,
+                    request,
+                    body,
+                    name,
+                    started_ms,
+                    functools.partial(self._on_answer, name),
+                )
             cause = control.leave()
         finally:
             watch.stop()
@@ -281,7 +222,7 @@
             took_ms=took_ms,
             result=(
                 result.status
-                if isinstance(result, Relayed)
+                if isinstance(result, relay_model.Relayed)
                 else f'{result.code.name}: {result.detail}'
             ),
         )
@@ -289,10 +230,10 @@
 
     def _settle(
         self,
-        request: RelayRequest,
-        result: Relayed | outcome.Failure,
+        request: relay_model.RelayRequest,
+        result: relay_model.Relayed | outcome.Failure,
         progress: _Progress,
-    ) -> Relayed | None:
+    ) -> relay_model.Relayed | None:
         """Keep the result of an attempt; return it if it is final."""
         if isinstance(result, outcome.Failure):
             progress.failure = result
@@ -319,7 +260,7 @@
 
     def _watch_silence(
         self,
-        request: RelayRequest,
+        request: relay_model.RelayRequest,
         progress: _Progress,
         body: bodies.RequestBody,
         picked: pickers.Pick,
@@ -355,58 +296,23 @@
             watch.start(max(MIN_PATIENCE_MS, patience_ms))
         return watch
 
-    async def _exchange(
-        self,
-        request: RelayRequest,
-        body: bodies.RequestBody,
-        target: registry.TargetRecord,
-    ) -> Relayed | outcome.Failure:
-        left_ms = request.end_ms - self._clock.now_ms
-        head = target_request.RequestHead(
-            request.method,
-            request.path,
-            edge.attempt_headers(request.headers, target.name, left_ms),
-            body.length,
-            request.host_name,
-        )
-        sent = await self._client.send(
-            target.name, head, body.outgoing(), request.end_ms
-        )
-        if isinstance(sent, outcome.Failure):
-            return sent
-        self._answers.on_answer(target.name)
-        response = sent.value
-        said = edge.read_target_fields(response.headers)
-        if said.request_id != request.request_id:
-            await response.close()
-            return outcome.Failure(
-                codes.ResultCode.TARGET_PROTOCOL,
-                'the response belongs to another request',
-                codes.Ran.UNKNOWN,
-            )
+    def _on_answer(self, target: str, said: edge.TargetFields) -> None:
+        self._answers.on_answer(target)
         if said.warmup_left_ms:
-            self._targets.on_warmup_report(target.name, said.warmup_left_ms)
-        if said.is_not_run or response.status == _MISDIRECTED:
-            await response.discard()
-            return outcome.Failure(
-                codes.ResultCode.TARGET_SHED,
-                f'status {response.status}, load {said.load}',
-                codes.Ran.NOT_RUN,
-            )
-        return await _read_whole(response, said, target.name)
+            self._targets.on_warmup_report(target, said.warmup_left_ms)
 
     def _judge(
         self,
-        request: RelayRequest,
+        request: relay_model.RelayRequest,
         picked: pickers.Pick,
-        result: Relayed | outcome.Failure,
+        result: relay_model.Relayed | outcome.Failure,
         load: int,
         took_ms: int,
     ) -> None:
         """Tell the balance what an attempt shows of its target."""
         target = picked.target
         name = target.name
-        if isinstance(result, Relayed):
+        if isinstance(result, relay_model.Relayed):
             if result.status >= _SERVER_ERROR:
                 self._ejections.on_failure(
                     name, True, f'status {result.status}'
@@ -439,7 +345,7 @@
         code: codes.ResultCode,
         detail: str = '',
         return_ms: int = pickers.MIN_RETURN_MS,
-    ) -> Relayed | Refused:
+    ) -> relay_model.Relayed | relay_model.Refused:
         if progress.response is not None:
             return progress.response
         failure = progress.failure
@@ -453,7 +359,7 @@
             failure = dataclasses.replace(
                 failure, ran_override=codes.Ran.UNKNOWN
             )
-        return Refused(failure, return_ms)
+        return relay_model.Refused(failure, return_ms)
 
 
 _REACHED_CODES = frozenset(
@@ -473,7 +379,7 @@
 
 
 def _build_query(
-    request: RelayRequest, left_ms: int, duration_ms: float
+    request: relay_model.RelayRequest, left_ms: int, duration_ms: float
 ) -> pickers.Query:
     """State how long the request may wait for a slot.
 
@@ -490,42 +396,3 @@
         request.route.home_regions,
         max(0.0, useful_ms),
     )
-
-
-async def _read_whole(
-    response: target_response.TargetResponse,
-    said: edge.TargetFields,
-    target: str,
-) -> Relayed | outcome.Failure:
-    is_success = 200 <= response.status < 300
-    if is_success and not said.is_signed:
-        await response.close()
-        return outcome.Failure(
-            codes.ResultCode.TARGET_PROTOCOL,
-            'the response is not signed',
-            codes.Ran.UNKNOWN,
-        )
-    if fields.find(response.headers, b'content-encoding') is not None:
-        await response.close()
-        return outcome.Failure(
-            codes.ResultCode.TARGET_PROTOCOL,
-            'the body is encoded',
-            codes.Ran.RAN,
-        )
-    parts: list[bytes] = []
-    size = 0
-    while (part := await response.read()) is not None:
-        if isinstance(part, outcome.Failure):
-            return part
-        parts.append(part)
-        size += len(part)
-        if size > MAX_BUFFERED_RESPONSE_BYTES:
-            await response.close()
-            return outcome.Failure(
-                codes.ResultCode.RESPONSE_INCOMPLETE,
-                f'longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes',
-            )
-    headers = tuple(
-        item for item in response.headers if item[0] != b'content-length'
-    )
-    return Relayed(response.status, headers, b''.join(parts), target)
--- /dev/null
+++ b/wigeonhatch/requests/relay_model.py
@@ -0,0 +1,70 @@
+"""Data of one request that a host relays to a target."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from wigeonhatch import outcome
+from wigeonhatch.requests import headers as fields
+from wigeonhatch.routes import model as routes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Checked head of a request.
+
+    Args:
+        request_id: Identity of this attempt of the caller.
+        route: Route of the request.
+        service: Service that runs it.
+        config_version: Version of the configuration that selected both.
+        method: HTTP method.
+        path: Path with query, as the caller sent it.
+        host_name: Value of the `Host` field.
+        headers: End-to-end header fields, names in lower case.
+        affinity_key: Object of the request; empty for none.
+        received_ms: Time of the head on the monotonic clock in ms.
+        end_ms: End of the request on the monotonic clock in ms.
+    """
+
+    request_id: bytes
+    route: routes.Route
+    service: str
+    config_version: int
+    method: str
+    path: bytes
+    host_name: bytes
+    headers: fields.HeaderTuple
+    affinity_key: bytes
+    received_ms: int
+    end_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relayed:
+    """Complete response of a target.
+
+    Args:
+        status: HTTP status.
+        headers: Header fields for the caller, without the length.
+        body: The whole body.
+        target: Name of the target.
+    """
+
+    status: int
+    headers: fields.HeaderTuple
+    body: bytes
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """No target serves the request.
+
+    Args:
+        failure: Why, and whether the request may have run.
+        return_ms: Time after which the caller may return in ms.
+    """
+
+    failure: outcome.Failure
+    return_ms: int
