Choose targets in a time that does not grow with their number

Cause: each choice looked at all targets of the service several times: 41, 76 and 396 us at 22, 108 and 1,000 targets.

Changed: regions are cached by the state of the list, and ejections are counted only while a target has failed lately; a target that is sound again is forgotten.

--- a/tests/balance/test_ejection.py
+++ b/tests/balance/test_ejection.py
@@ -67,3 +67,15 @@
             clock.advance(100)
             waited_ms += 100
     assert waited_ms == ejection.MAX_EJECTION_MS
+
+
+def test_sound_target_is_forgotten() -> None:
+    """Guards against records of failures that are kept for good."""
+    table = ejection.EjectionTable(clocks.ManualClock())
+    table.on_failure('t1', True, 'x')
+    assert not table.is_empty
+    for _ in range(20):
+        table.on_success('t1')
+    assert table.is_empty
+    table.on_end('t1')
+    table.on_success('t1')
--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -16,6 +16,9 @@
 """Longest ejection, so that a target that recovers is used again soon."""
 FAILURE_RATIO = 0.3
 """Smoothed part of failures that ejects; ordinary errors are below 0.05."""
+FORGOTTEN_RATIO = 0.01
+"""Smoothed part of failures below which a target counts as sound; reached by
+about 20 good responses after one failure."""
 _SMOOTHING = 0.15
 """Weight of the newest result; about the last seven results count."""
 _LOG = logging.getLogger(__name__)
@@ -46,6 +49,11 @@
         self._clock = clock
         self._health_by_target: dict[str, _Health] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has failed lately."""
+        return not self._health_by_target
+
     def is_available(self, target: str) -> bool:
         """Tell whether a target may get a request now.
 
@@ -91,8 +99,8 @@
             health.trials = 0
             health.ratio = 0.0
             log.event(_LOG, 'target readmitted', target=target)
-        if health.ratio < 0.01:
-            health.ejections = 0
+        if health.ratio < FORGOTTEN_RATIO:
+            del self._health_by_target[target]
 
     def on_end(self, target: str) -> None:
         """Record a request that ended without telling about the target."""
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -19,6 +19,8 @@
 
 _SMOOTHING = 0.3
 """Weight of the newest count of busy slots; about the last 1.5 s count."""
+_MAX_SERVICES = 256
+"""Services whose regions are cached; a few at today's sizes."""
 _MAX_RANKINGS = 4_096
 """Cached orders of targets; services x objects x regions at today's sizes."""
 MIN_AVAILABLE = 0.5
@@ -114,6 +116,7 @@
         self._split_by_service: dict[str, region_split.RegionSplit] = {}
         self._busy_by_service: dict[str, dict[str, float]] = {}
         self._objects = objects.ObjectCounter(clock)
+        self._regions = functools.lru_cache(_MAX_SERVICES)(self._find_regions)
         self._ranking = functools.lru_cache(_MAX_RANKINGS)(self._rank_targets)
 
     def configure(
@@ -137,10 +140,7 @@
             query: What the request needs.
             excluded: Names of targets that have been tried.
         """
-        regions = {
-            self.region_of(record.domain)
-            for record in self._targets.usable(query.service)
-        }
+        regions = self._regions(query.service, self._targets.epoch)
         if query.home_regions:
             regions &= query.home_regions
         if not regions:
@@ -274,11 +274,13 @@
     ) -> collections.abc.Iterator[registry.TargetRecord]:
         """Yield the targets that may get a request, in their order."""
         ejections = self._ejections
-        available = sum(
-            ejections.is_available(record.name) for record in ranking
-        )
-        # Leaving most targets out would overload the rest.
-        is_scarce = available < len(ranking) * MIN_AVAILABLE
+        is_scarce = False
+        if not ejections.is_empty:
+            available = sum(
+                ejections.is_available(record.name) for record in ranking
+            )
+            # Leaving most targets out would overload the rest.
+            is_scarce = available < len(ranking) * MIN_AVAILABLE
         for record in ranking:
             name = record.name
             if name in excluded:
@@ -305,6 +307,13 @@
         count = sum(self._loads.in_progress(record.name) for record in ranking)
         return count >= slots * MAX_LOAD_AWAY
 
+    def _find_regions(self, service: str, epoch: int) -> frozenset[str]:
+        del epoch  # Part of the key of the cache.
+        return frozenset(
+            self.region_of(record.domain)
+            for record in self._targets.usable(service)
+        )
+
     def _rank_targets(
         self, service: str, region: str, affinity_key: bytes, epoch: int
     ) -> tuple[registry.TargetRecord, ...]:
