--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -90,7 +90,8 @@
     def on_success(self, target: str) -> None:
         """Record a good response."""
         health = self._health_by_target.get(target)
-        if health is None:
+        if health is None or self._clock.now_ms < health.ejected_until_ms:
+            # Requests that were in progress do not end an ejection.
             return
         health.consecutive = 0
         health.ratio *= 1 - _SMOOTHING
