Apply the configured limits on heads, gaps and idle connections

Cause: the limits of the configuration bounded bodies only; heads and idle connections had the limits of the settings. Figures: the new test fails before the change (no close after 200 ms idle).

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -217,7 +217,9 @@
 
 def _serve(app: typing.Any, port: int, is_guarded: bool) -> None:
     config = server.build_server_config(
-        app, f'127.0.0.1:{port}', settings.Limits()
+        app,
+        f'127.0.0.1:{port}',
+        server.build_protocol(settings.Limits()),
     )
     if not is_guarded:
         config.http = 'httptools'
--- a/benchmarks/upload.py
+++ b/benchmarks/upload.py
@@ -120,7 +120,9 @@
     app: typing.Any = _count_body
     if role != 'target':
         app = request_cost.build_application(surroundings, runner, _LIMITS)
-    config = server.build_server_config(app, f'127.0.0.1:{port}', _LIMITS)
+    config = server.build_server_config(
+        app, f'127.0.0.1:{port}', server.build_protocol(_LIMITS)
+    )
     uvicorn.Server(config).run()
 
 
--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -92,7 +92,9 @@
         }
 
 
-def config(version: int, prefix: str = '/r/') -> dict[str, typing.Any]:
+def config(
+    version: int, prefix: str = '/r/', idle_timeout: str = '15s'
+) -> dict[str, typing.Any]:
     """Configuration with one route."""
     return {
         'version': f'r{version}',
@@ -109,7 +111,10 @@
             }
         },
         'services': {'s': {'health_path': '/health', 'max_conns': 50}},
-        'limits': {},
+        'limits': {
+            'max_header_bytes': 2_000,
+            'idle_timeout': idle_timeout,
+        },
     }
 
 
@@ -367,3 +372,29 @@
         assert results.count(200) > 10
 
     play(tmp_path, scenario)
+
+
+def test_limits_of_the_configuration_hold(tmp_path: pathlib.Path) -> None:
+    """Guards against callers that send or idle beyond the limits."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.start()
+        await deployment.put('op', 'config', config(2, '/q/', '200ms'))
+        await deployment.wait_for(deployment.front, '/q/a', 200)
+        stream = await anyio.connect_tcp('127.0.0.1', deployment.front)
+        await stream.send(
+            b'GET /q/a HTTP/1.1\r\nHost: x.example\r\nRequest-Id: r\r\n\r\n'
+        )
+        assert b' 200 ' in await stream.receive()
+        started_s = time.monotonic()
+        with pytest.raises(anyio.EndOfStream):
+            while True:
+                await stream.receive()
+        assert time.monotonic() - started_s >= 0.2
+        stream = await anyio.connect_tcp('127.0.0.1', deployment.front)
+        await stream.send(
+            b'GET /q/a HTTP/1.1\r\nHost: x.example\r\nX: ' + b'x' * 4_000
+        )
+        assert b' 431 ' in await stream.receive()
+
+    play(tmp_path, scenario)
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -284,7 +284,9 @@
         ) -> None:
             await host.application(scope, *args)
 
-        config = server.build_server_config(serve, '127.0.0.1:1', LIMITS)
+        config = server.build_server_config(
+            serve, '127.0.0.1:1', server.build_protocol(LIMITS)
+        )
         config.port = 0
         http_server = uvicorn.Server(config)
         config.load()
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -87,7 +87,7 @@
             request_server.build_server_config(
                 typing.cast(typing.Any, self._on_caller),
                 self._settings.caller_address,
-                self._settings.limits,
+                request_server.build_protocol(self._settings.limits),
             )
         )
         operators = http_server.build_server(
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import logging
 import random
 import signal
@@ -44,6 +45,9 @@
 """Part of the agreed retries that hosts use, as their counts differ."""
 EXIT_MARGIN_MS = 400
 """Time before the forced end at which the process ends by itself."""
+IDLE_MARGIN_S = 1.0
+"""Time beyond the idle timeout after which a connection is closed, so that a
+caller that keeps to the timeout never meets the close."""
 MIN_SERVICE_MS = 2_500
 """Time that a request needs before the forced end to be taken on."""
 DIRECTORY_TTL_MS = 2_000
@@ -67,6 +71,7 @@
         self._clock = clock
         self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._is_stopping = False
+        self._protocol = request_server.build_protocol(settings.limits)
         self._metrics = collector.Metrics(clock)
         self._store = stores.StoreClient(settings.store_address)
         self._routes = tables.RouteTable()
@@ -140,7 +145,7 @@
             request_server.build_server_config(
                 typing.cast(typing.Any, self._application),
                 settings.caller_address,
-                settings.limits,
+                self._protocol,
             )
         )
         lookups = directory.DirectoryApplication(
@@ -269,6 +274,14 @@
             self._picker.adjust_splits(self._fleet.peers.region_by_host())
 
     def _on_config(self, config: model.RoutingConfig) -> None:
+        limits = config.limits
+        self._protocol.limits = dataclasses.replace(
+            self._settings.limits,
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            max_body_gap_ms=limits.header_timeout_ms,
+        )
+        self._protocol.idle_s = limits.idle_timeout_ms / 1_000 + IDLE_MARGIN_S
         self._picker.configure(config.service_by_name)
         self._on_targets()
 
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -30,6 +30,7 @@
     """HTTP protocol that bounds connections and the time for a head."""
 
     limits: settings.Limits
+    idle_s: float = KEEP_ALIVE_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection over the limit."""
@@ -117,6 +118,7 @@
             self._arm(_LINGER_S, self.transport.close)
         elif self._closes:
             self.transport.close()
+        self.timeout_keep_alive = self.idle_s  # type: ignore[assignment]
         super().on_response_complete()
 
     def send_400_response(self, msg: str) -> None:
@@ -175,20 +177,28 @@
             self._timer = None
 
 
+def build_protocol(limits: settings.Limits) -> type[GuardedProtocol]:
+    """Build a protocol class whose limits may change while it is in use.
+
+    Args:
+        limits: Limits at the edges.
+    """
+    return type('LimitedProtocol', (GuardedProtocol,), {'limits': limits})
+
+
 def build_server_config(
     application: Application,
     address: str,
-    limits: settings.Limits,
+    protocol: type[GuardedProtocol],
 ) -> uvicorn_config.Config:
     """Configure uvicorn for the callers' interface.
 
     Args:
         application: The application to serve.
         address: `IP:PORT` to listen on.
-        limits: Limits at the edges.
+        protocol: Protocol with the limits at the edges.
     """
     host, port = settings.parse_address(address)
-    protocol = type('LimitedProtocol', (GuardedProtocol,), {'limits': limits})
     return uvicorn_config.Config(
         application,  # type: ignore[arg-type]
         host=host,
