--- /dev/null
+++ b/tests/entry/test_fleet.py
@@ -0,0 +1,129 @@
+"""Tests of the presence of a host among its peers."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import msgspec
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.balance import loads
+from wigeonhatch.entry import edge_settings
+from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.peers import row_share
+from wigeonhatch.peers import state_link
+from wigeonhatch.platform import store as stores
+
+BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '10s', '5s')  # type: ignore
+SETTINGS = edge_settings.EdgeSettings(
+    'h1',
+    '10.0.0.1',
+    'a1',
+    'a',
+    {'a1': 'a', 'b1': 'b'},
+    '10.0.0.1:80',
+    '10.0.0.1:81',
+    '10.0.0.1:82',
+    '10.0.0.1:83',
+    84,
+    85,
+    '10.9.9.9:80',
+    BOUNDS,
+    ['10.0.0.1:83', '10.0.0.7:83'],
+)
+
+
+class _Scene:
+    """Fleet of the host `h1`."""
+
+    def __init__(self) -> None:
+        self.is_serving = True
+        self.peer_changes: list[dict[str, int]] = []
+        self.clock = clocks.ManualClock()
+        self.loads = loads.LoadTable(self.clock)
+        self.fleet = fleets.Fleet(
+            SETTINGS,
+            typing.cast(typing.Any, None),
+            self.loads,
+            lambda: self.is_serving,
+            lambda: 3,
+            lambda: {'op': 4},
+            self.peer_changes.append,
+            self.clock,
+        )
+
+    def hear(
+        self,
+        host: str,
+        region: str,
+        is_serving: bool = True,
+        sequence: int = 1,
+    ) -> None:
+        """Receive the state of a peer."""
+        ip = f'10.0.0.{host[1:]}'
+        state = state_link.HostState(
+            host,
+            1,
+            sequence,
+            f'{region}1',
+            region,
+            f'{ip}:80',
+            is_serving,
+            3,
+            {'op': 9},
+            {'t1': 2},
+        )
+        link = self.fleet._link
+        link.datagram_received(msgspec.msgpack.encode(state), (ip, 1))
+
+
+def test_lookup_names_serving_hosts_of_the_region() -> None:
+    """Guards against lookups that name stopped, lost or distant hosts."""
+    scene = _Scene()
+    scene.hear('h2', 'a')
+    scene.hear('h3', 'b')
+    scene.hear('h4', 'a', is_serving=False)
+    find = scene.fleet.caller_addresses
+    assert set(find('a1', 'a')) == {'10.0.0.1:80', '10.0.0.2:80'}
+    assert find('b1', 'b') == ['10.0.0.3:80']
+    assert len(find('c1', 'c')) == 3
+    scene.clock.advance(state_link.SILENCE_MS + 1)
+    assert find('b1', 'b') == ['10.0.0.1:80']
+    scene.is_serving = False
+    assert find('a1', 'a') == []
+
+
+def test_states_bring_loads_addresses_and_changes() -> None:
+    """Guards against peers that are known without their loads."""
+    scene = _Scene()
+    assert set(scene.fleet.roster.ip_by_host.values()) == {'10.0.0.7'}
+    scene.hear('h2', 'a')
+    assert scene.fleet.roster.ip_by_host['h2'] == '10.0.0.2'
+    assert scene.loads.in_progress('t1') == 2
+    assert scene.peer_changes == [{'op': 9}]
+    assert scene.fleet.live_hosts() == frozenset({'h1', 'h2'})
+
+
+def test_only_a_peer_that_knows_more_is_asked() -> None:
+    """Guards against calls to peers that cannot help."""
+
+    async def scenario() -> None:
+        scene = _Scene()
+        assert await scene.fleet.ask_peer('op', 0) is None
+        scene.hear('h2', 'a')
+        assert await scene.fleet.ask_peer('op', 9) is None
+        assert await scene.fleet.ask_peer('other', 0) is None
+
+    anyio.run(scenario)
+
+
+def test_rows_pass_between_peers_unchanged() -> None:
+    """Guards against rows that differ after they were passed on."""
+    rows = stores.Snapshot((stores.StoredRow('a', b'\xff', 5),), 7)
+    given = row_share.answer(
+        {'table': 'op'}, lambda table: rows if table == 'op' else None
+    )
+    assert given is not None
+    assert msgspec.msgpack.decode(given, type=stores.Snapshot) == rows
+    assert row_share.answer({}, lambda table: None) is None
--- /dev/null
+++ b/tests/requests/test_edge_application.py
@@ -0,0 +1,144 @@
+"""Tests of the callers' interface of a host on a platform."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import pytest
+
+from tests.routes import test_table
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.requests import edge
+from wigeonhatch.requests import relay_model
+from wigeonhatch.routes import table as tables
+
+CODE = codes.ResultCode
+RAN = codes.Ran
+
+
+class _Relay:
+    """Relay with one result for all requests."""
+
+    def __init__(
+        self, result: relay_model.Relayed | relay_model.Refused
+    ) -> None:
+        self.result = result
+        self.requests: list[relay_model.RelayRequest] = []
+
+    async def run(
+        self, request: relay_model.RelayRequest, body: object, control: object
+    ) -> relay_model.Relayed | relay_model.Refused:
+        self.requests.append(request)
+        return self.result
+
+
+class _Call:
+    """One request and its response."""
+
+    def __init__(
+        self,
+        result: relay_model.Relayed | relay_model.Refused,
+        path: str = '/a/x',
+        version: int = 1,
+    ) -> None:
+        self.relay = _Relay(result)
+        routes = tables.RouteTable()
+        if version:
+            route = test_table.build_route('r', '/a/', ('s', 1))
+            routes.configure(test_table.build_config(version, route))
+        self.application = edge.EdgeApplication(
+            routes,
+            typing.cast(typing.Any, self.relay),
+            lambda target: 'north',
+            lambda *arguments: None,
+            clocks.ManualClock(),
+        )
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b''
+        self._path = path
+
+    def run(self) -> _Call:
+        """Serve the request."""
+        anyio.run(self._run)
+        return self
+
+    async def _run(self) -> None:
+        scope = {
+            'type': 'http',
+            'method': 'GET',
+            'raw_path': self._path.encode(),
+            'query_string': b'q=1',
+            'headers': [
+                (b'host', b'x.example'),
+                (b'request-id', b'r1'),
+                (b'deadline-ms', b'1200'),
+            ],
+        }
+
+        async def receive() -> dict[str, object]:
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        async def send(message: typing.MutableMapping[str, object]) -> None:
+            if message['type'] == 'http.response.start':
+                self.status = typing.cast(int, message['status'])
+                self.headers = dict(
+                    typing.cast(typing.Any, message['headers'])
+                )
+            else:
+                self.body += typing.cast(bytes, message['body'])
+
+        await self.application(scope, receive, send)
+
+
+def refusal(code: codes.ResultCode, ran: codes.Ran) -> relay_model.Refused:
+    """Build a refusal."""
+    return relay_model.Refused(outcome.Failure(code, '', ran), 250)
+
+
+RELAYED = relay_model.Relayed(201, ((b'x-a', b'b'),), b'body', 't1')
+
+
+def test_response_passes_with_its_length() -> None:
+    """Guards against responses that differ from the target's."""
+    call = _Call(RELAYED).run()
+    assert (call.status, call.body) == (201, b'body')
+    assert call.headers == {b'x-a': b'b', b'content-length': b'4'}
+    request = call.relay.requests[0]
+    assert request.path == b'/a/x?q=1'
+    assert request.end_ms - request.received_ms == 1_200
+
+
+@pytest.mark.parametrize('code', list(CODE))
+@pytest.mark.parametrize('ran', list(RAN))
+def test_status_tells_the_truth(
+    code: codes.ResultCode, ran: codes.Ran
+) -> None:
+    """Guards against a promise that a request has not run though it may."""
+    call = _Call(refusal(code, ran)).run()
+    if ran is RAN.NOT_RUN:
+        assert call.status == 503 or 400 <= call.status < 500
+    else:
+        assert call.status not in (408, 421, 429, 503)
+    if call.status == 503:
+        assert call.headers[b'retry-after'] == b'0.250'
+
+
+def test_unknown_route_and_missing_configuration() -> None:
+    """Guards against 404 from a host that knows no routes yet."""
+    assert _Call(RELAYED, '/b').run().status == 404
+    assert _Call(RELAYED, version=0).run().status == 503
+
+
+def test_stopping_host_closes_and_then_refuses() -> None:
+    """Guards against callers that keep a connection to a stopping host."""
+    call = _Call(RELAYED)
+    call.application.is_stopping = True
+    assert call.run().headers[b'connection'] == b'close'
+    call.application.is_refusing = True
+    assert call.run().status == 503
+    assert len(call.relay.requests) == 1
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 
 import pytest
 
@@ -38,3 +39,45 @@
     assert 'ValueError' in second['exception']
     assert 's3cret-word' not in captured.out
     assert 'other-word' not in captured.out
+
+
+def test_repeated_message_is_bounded_and_counted() -> None:
+    """Guards against a failure that floods the log."""
+    now_s = 0.5
+    bound = log.RateFilter(3, lambda: now_s)
+
+    def record(message: str) -> logging.LogRecord:
+        return logging.LogRecord('x', 20, 'x', 1, message, (), None)
+
+    passed = [bound.filter(record('m')) for _ in range(5)]
+    assert passed == [True] * 3 + [False] * 2
+    assert bound.filter(record('other'))
+    now_s = 1.5
+    late = record('m')
+    assert bound.filter(late)
+    assert late.dropped == 2  # type: ignore[attr-defined]
+
+
+def test_reader_that_stops_blocks_nobody() -> None:
+    """Guards against requests that wait for the reader of the log."""
+    reader, writer = os.pipe()
+    try:
+        handler = log.PipeHandler(writer)
+        handler.setFormatter(log.JsonFormatter())
+        record = logging.LogRecord('x', 20, 'x', 1, 'y' * 1_000, (), None)
+        for _ in range(1_000):
+            handler.emit(record)
+        assert handler.dropped_lines > 0
+        data = b''
+        os.set_blocking(reader, False)
+        for _ in range(100):
+            try:
+                data += os.read(reader, 65_536)
+            except BlockingIOError:
+                handler.flush()
+        lines = data.splitlines()
+        assert len(lines) + handler.dropped_lines >= 1_000
+        assert all(json.loads(line)['logger'] == 'x' for line in lines)
+    finally:
+        os.close(reader)
+        os.close(writer)
