Read bounds and seeds again on SIGHUP, drop an unused setting

Cause: SIGHUP was only logged; retry_window was read and not used, since the retry budget holds in any time.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -130,8 +130,8 @@
         }
         self.processes: list[subprocess.Popen[bytes]] = []
         self.log = folder / 'edge.log'
-        self._settings = folder / 'edge.json'
-        self._settings.write_text(
+        self.settings = folder / 'edge.json'
+        self.settings.write_text(
             json.dumps(
                 {
                     'host': 'h1',
@@ -150,7 +150,6 @@
                         'stop_grace': f'{STOP_GRACE_MS}ms',
                         'retry_ratio': 0.2,
                         'retry_slack': 60,
-                        'retry_window': '10s',
                         'directory_ttl_max': '1s',
                     },
                 }
@@ -177,7 +176,7 @@
 
     def spawn_edge(self) -> subprocess.Popen[bytes]:
         """Start the daemon."""
-        return self.spawn('wigeonhatch', 'edge', str(self._settings))
+        return self.spawn('wigeonhatch', 'edge', str(self.settings))
 
     async def call(
         self,
@@ -398,3 +397,22 @@
         assert b' 431 ' in await stream.receive()
 
     play(tmp_path, scenario)
+
+
+def test_settings_are_read_again(tmp_path: pathlib.Path) -> None:
+    """Guards against a host that ends or forgets on a change of settings."""
+
+    async def scenario(deployment: Deployment) -> None:
+        edge = await deployment.start()
+        text = deployment.settings.read_text()
+        for content in (text.replace('4000ms', '3000ms'), '{'):
+            deployment.settings.write_text(content)
+            edge.send_signal(signal.SIGHUP)
+            await anyio.sleep(0.5)
+            status, _ = await deployment.call(deployment.front, '/r/a')
+            assert status == 200
+        log = deployment.log.read_text()
+        assert '"settings read again", "changed": ["bounds"]' in log
+        assert 'settings unusable' in log
+
+    play(tmp_path, scenario)
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -15,7 +15,7 @@
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
 
-BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '10s', '5s')  # type: ignore
+BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '5s')  # type: ignore
 SETTINGS = edge_settings.EdgeSettings(
     'h1',
     '10.0.0.1',
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,7 @@
 from wigeonhatch.cli import access
 from wigeonhatch.cli import render
 from wigeonhatch.config import model
+from wigeonhatch.entry import edge_settings
 
 DOCS = pathlib.Path(__file__).parents[1] / 'docs'
 CLASSES: list[typing.Any] = [
@@ -30,6 +31,8 @@
     settings.Settings,
     settings.Limits,
     access.OperatorSettings,
+    edge_settings.EdgeSettings,
+    edge_settings.Bounds,
 ]
 
 
@@ -71,7 +74,7 @@
     assert names == [kind.__name__ for kind in CLASSES]
     defined = {
         name
-        for module in (model, settings, access)
+        for module in (model, settings, access, edge_settings)
         for name, value in vars(module).items()
         if dataclasses.is_dataclass(value)
         and value.__module__ == module.__name__
--- a/wigeonhatch/cli/daemons.py
+++ b/wigeonhatch/cli/daemons.py
@@ -38,12 +38,18 @@
     from wigeonhatch.entry import edge_settings
 
     path = settings or os.environ.get(edge_settings.SETTINGS_VARIABLE, '')
-    loaded = settings_module.load_checked(path, edge_settings.EdgeSettings)
+
+    def read() -> (
+        outcome.Success[edge_settings.EdgeSettings] | outcome.Failure
+    ):
+        return settings_module.load_checked(path, edge_settings.EdgeSettings)
+
+    loaded = read()
     if isinstance(loaded, outcome.Failure):
         return _report(loaded)
     from wigeonhatch.entry import edge_daemon
 
-    return edge_daemon.run_edge(loaded.value)
+    return edge_daemon.run_edge(loaded.value, read)
 
 
 def _report(failure: outcome.Failure) -> int:
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -15,6 +15,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import log
+from wigeonhatch import outcome
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
@@ -55,6 +56,10 @@
 _POLL_MS = 50
 _LOG = logging.getLogger(__name__)
 
+ReadSettings = collections.abc.Callable[
+    [], outcome.Success[edge_settings.EdgeSettings] | outcome.Failure
+]
+
 
 class EdgeDaemon:
     """One entry host: relays requests, and tells callers which hosts serve.
@@ -62,12 +67,17 @@
     Args:
         settings: Checked settings.
         clock: Clock of the host.
+        read_settings: Reads the settings again.
     """
 
     def __init__(
-        self, settings: edge_settings.EdgeSettings, clock: clocks.Clock
+        self,
+        settings: edge_settings.EdgeSettings,
+        clock: clocks.Clock,
+        read_settings: ReadSettings,
     ) -> None:
         self._settings = settings
+        self._read_settings = read_settings
         self._clock = clock
         self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._is_stopping = False
@@ -232,6 +242,26 @@
                 log.event(_LOG, 'signal', name=signal.Signals(number).name)
                 if number != signal.SIGHUP:
                     return
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take over bounds and seeds; the rest needs a new start."""
+        read = self._read_settings()
+        if isinstance(read, outcome.Failure):
+            log.event(_LOG, 'settings unusable', reason=read.detail)
+            return
+        settings = read.value
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        log.event(_LOG, 'settings read again', changed=changed)
+        self._settings = dataclasses.replace(
+            self._settings, bounds=settings.bounds, seeds=settings.seeds
+        )
+        self._fleet.learn_seeds(settings.seeds)
 
     async def _stop(
         self, servers: collections.abc.Sequence[http_server.HttpServer]
@@ -327,11 +357,14 @@
         self._metrics.on_request(service, region, code, took_ms * 1_000)
 
 
-def run_edge(settings: edge_settings.EdgeSettings) -> int:
+def run_edge(
+    settings: edge_settings.EdgeSettings, read_settings: ReadSettings
+) -> int:
     """Run the daemon until SIGTERM.
 
     Args:
         settings: Checked settings.
+        read_settings: Reads the settings again.
 
     Returns:
         Exit status.
@@ -339,7 +372,7 @@
     log.configure_logging(settings.log_level)
 
     async def main() -> None:
-        await EdgeDaemon(settings, clocks.Clock()).run()
+        await EdgeDaemon(settings, clocks.Clock(), read_settings).run()
 
     try:
         anyio.run(main, backend_options={'use_uvloop': True})
--- a/wigeonhatch/entry/edge_settings.py
+++ b/wigeonhatch/entry/edge_settings.py
@@ -29,15 +29,14 @@
         max_shift: Largest part of a region's requests that changes its
             region from one window of 2 s to the next.
         retry_ratio: Repeated sends per request, over all hosts.
-        retry_slack: Repeated sends beyond the ratio, over all hosts.
-        retry_window: Window of both in ms.
+        retry_slack: Repeated sends beyond the ratio in any time, over all
+            hosts.
         directory_ttl_max: Longest time for which a lookup counts in ms.
     """
 
     stop_grace: Duration
     retry_ratio: Ratio
     retry_slack: float
-    retry_window: Duration
     directory_ttl_max: Duration
     max_shift: Ratio = 1.0
 
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -58,14 +58,11 @@
     ) -> None:
         self.peers = state_link.PeerTable(clock)
         self.roster = rosters.Roster(settings.host)
-        for seed in settings.seeds:
-            ip, _ = settings_module.parse_address(seed)
-            if ip != settings.ip:
-                self.roster.learn(f'seed {ip}', ip)
         _, self._rows_port = settings_module.parse_address(
             settings.peer_address
         )
         self._settings = settings
+        self.learn_seeds(settings.seeds)
         self._store = store
         self._loads = load_table
         self._is_serving = is_serving
@@ -87,6 +84,17 @@
         """Close the socket of the exchange."""
         self._link.close()
 
+    def learn_seeds(self, seeds: collections.abc.Iterable[str]) -> None:
+        """Send states to some hosts before the store has named them.
+
+        Args:
+            seeds: Peer addresses.
+        """
+        for seed in seeds:
+            ip, _ = settings_module.parse_address(seed)
+            if ip != self._settings.ip:
+                self.roster.learn(f'seed {ip}', ip)
+
     async def register(self) -> None:
         """List this host in the store."""
         row = rosters.encode_entry(self._settings.ip, self._incarnation)
