Name fields in the project's words, share decoding and the daemon's loop

Cause: two fields had the platform's names outside its folder, and the decoding of replies and the loop of a daemon stood twice. No change of behaviour.

--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -56,9 +56,9 @@
     assert route.host_name == 'x.example'
     assert (route.timeout_ms, route.objective_ms) == (1_500, 600)
     assert route.shares == (model.ServiceShare('s', 90.0),)
-    assert route.home_regions == frozenset({'north'})
+    assert route.allowed_regions == frozenset({'north'})
     assert config.service_by_name['s'].warmup_ms == 3_000
-    assert config.service_by_name['s'].warmup_per_s == 0.0
+    assert config.service_by_name['s'].cold_rate_per_s == 0.0
     assert config.limits.idle_timeout_ms == 15_000
 
 
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -25,7 +25,7 @@
         shares=tuple(model.ServiceShare(*item) for item in shares),
         max_attempts=2,
         has_affinity=False,
-        home_regions=frozenset(),
+        allowed_regions=frozenset(),
     )
 
 
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -41,13 +41,13 @@
     Args:
         service: Name of the service.
         affinity_key: Object of the request; empty for none.
-        home_regions: Regions that may serve it; empty for all.
+        allowed_regions: Regions that may serve it; empty for all.
         wait_ms: Longest useful wait for a slot, from now, in ms.
     """
 
     service: str
     affinity_key: bytes
-    home_regions: frozenset[str]
+    allowed_regions: frozenset[str]
     wait_ms: float
 
 
@@ -141,8 +141,8 @@
             excluded: Names of targets that have been tried.
         """
         regions = self._regions(query.service, self._targets.epoch)
-        if query.home_regions:
-            regions &= query.home_regions
+        if query.allowed_regions:
+            regions &= query.allowed_regions
         if not regions:
             return NoTarget('no usable target', MIN_RETURN_MS)
         self._objects.note(query.service, query.affinity_key)
@@ -240,7 +240,7 @@
         better than a free slot elsewhere.
         """
         traits = self._service_by_name.get(query.service)
-        per_s = 0.0 if traits is None else traits.warmup_per_s
+        per_s = 0.0 if traits is None else traits.cold_rate_per_s
         ranking = self._ranking(
             query.service, region, query.affinity_key, self._targets.epoch
         )
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -13,7 +13,6 @@
 import uvicorn
 
 from wigeonhatch import clock as clocks
-from wigeonhatch import codes
 from wigeonhatch import log
 from wigeonhatch import outcome
 from wigeonhatch import settings as settings_module
@@ -21,6 +20,7 @@
 from wigeonhatch.entry import control as controls
 from wigeonhatch.entry import http_server
 from wigeonhatch.entry import not_ready
+from wigeonhatch.entry import runner
 from wigeonhatch.entry import serving as servings
 from wigeonhatch.entry import stop as stops
 from wigeonhatch.entry import upkeep as upkeeps
@@ -233,12 +233,4 @@
     async def main() -> None:
         await Daemon(settings, credential.value, clocks.Clock()).run()
 
-    try:
-        anyio.run(main, backend_options={'use_uvloop': True})
-    except ExceptionGroup as group:
-        matched, rest = group.split(OSError)
-        if matched is None or rest is not None:
-            raise
-        _LOG.error('cannot start: %s', matched.exceptions)
-        return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
-    return 0
+    return runner.run_daemon(main)
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -26,6 +26,7 @@
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import http_server
+from wigeonhatch.entry import runner
 from wigeonhatch.entry import table_follower
 from wigeonhatch.metrics import collector
 from wigeonhatch.platform import names
@@ -374,12 +375,4 @@
     async def main() -> None:
         await EdgeDaemon(settings, clocks.Clock(), read_settings).run()
 
-    try:
-        anyio.run(main, backend_options={'use_uvloop': True})
-    except ExceptionGroup as group:
-        matched, rest = group.split(OSError)
-        if matched is None or rest is not None:
-            raise
-        _LOG.error('cannot start: %s', matched.exceptions)
-        return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
-    return 0
+    return runner.run_daemon(main)
--- /dev/null
+++ b/wigeonhatch/entry/runner.py
@@ -0,0 +1,34 @@
+"""Event loop of a daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+
+import anyio
+
+from wigeonhatch import codes
+
+_LOG = logging.getLogger(__name__)
+
+
+def run_daemon(
+    main: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> int:
+    """Run a daemon to its end.
+
+    Args:
+        main: Runs the daemon until it is stopped.
+
+    Returns:
+        Exit status; not 0 if an address cannot be used.
+    """
+    try:
+        anyio.run(main, backend_options={'use_uvloop': True})
+    except ExceptionGroup as group:
+        matched, rest = group.split(OSError)
+        if matched is None or rest is not None:
+            raise
+        _LOG.error('cannot start: %s', matched.exceptions)
+        return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
+    return 0
--- a/wigeonhatch/platform/decode.py
+++ b/wigeonhatch/platform/decode.py
@@ -138,7 +138,7 @@
         shares=shares,
         max_attempts=max(1, int(item.get('max_attempts', 1))),
         has_affinity=bool(item.get('session_affinity', False)),
-        home_regions=frozenset(item.get('home_regions') or ()),
+        allowed_regions=frozenset(item.get('home_regions') or ()),
     )
 
 
@@ -147,7 +147,7 @@
         health_path=item['health_path'],
         max_connections=int(item['max_conns']),
         warmup_ms=durations.parse_duration_ms(item.get('warmup') or '0ms'),
-        warmup_per_s=float(item.get('warmup_per_s') or 0.0),
+        cold_rate_per_s=float(item.get('warmup_per_s') or 0.0),
     )
 
 
--- a/wigeonhatch/platform/http_client.py
+++ b/wigeonhatch/platform/http_client.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 import urllib.parse
 
 import httpcore
 import msgspec
 
+from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
 
 REQUEST_TIMEOUT_S = 1.5
@@ -43,20 +43,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True)
-class _Reply:
-    status: int
-    body: bytes
-
-
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-    httpcore.ConnectionNotAvailable,
-)
-
-
 class HttpPlatform:
     """Access the platform over HTTP.
 
@@ -103,7 +89,7 @@
         """Write rows; see `interface.Platform.commit`."""
         body = msgspec.json.encode(CommitRequest(checks, writes))
         reply = await self._call('POST', '/table/commit', body)
-        if not isinstance(reply, _Reply):
+        if not isinstance(reply, _reply.Reply):
             return reply
         if reply.status != 200:
             return interface.Unknown(f'HTTP status {reply.status}')
@@ -124,7 +110,7 @@
     ) -> bytes | None | interface.Unavailable:
         """Read an object; see `interface.Platform.get_object`."""
         reply = await self._call('GET', _object_path(name), b'')
-        if not isinstance(reply, _Reply):
+        if not isinstance(reply, _reply.Reply):
             return interface.Unavailable(reply.detail)
         if reply.status == 404:
             return None
@@ -135,7 +121,7 @@
     ) -> None | interface.Unavailable | interface.Unknown:
         """Store an object; see `interface.Platform.put_object`."""
         reply = await self._call('PUT', _object_path(name), content)
-        if not isinstance(reply, _Reply):
+        if not isinstance(reply, _reply.Reply):
             return reply
         if reply.status != 200:
             return interface.Unknown(f'HTTP status {reply.status}')
@@ -146,18 +132,18 @@
     ) -> interface.HostList | interface.Unavailable:
         """Read the host list; see `interface.Platform.list_hosts`."""
         reply = await self._call('GET', '/hosts', b'')
-        return _decode(reply, interface.HostList)
+        return _reply.decode(reply, interface.HostList)
 
     async def _read(
         self, path: str, request: ReadRequest
     ) -> interface.ReadResult | interface.Unavailable:
         body = msgspec.json.encode(request)
         reply = await self._call('POST', path, body)
-        return _decode(reply, interface.ReadResult)
+        return _reply.decode(reply, interface.ReadResult)
 
     async def _call(
         self, method: str, path: str, body: bytes
-    ) -> _Reply | interface.Unavailable | interface.Unknown:
+    ) -> _reply.Reply | interface.Unavailable | interface.Unknown:
         try:
             response = await self._pool.request(
                 method,
@@ -165,35 +151,14 @@
                 content=body,
                 extensions={'timeout': self._timeout},
             )
-        except _NOT_SENT as error:
+        except _reply.NOT_SENT as error:
             return interface.Unavailable(type(error).__name__)
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except _reply.BROKEN as error:
             return interface.Unknown(type(error).__name__)
         if response.status == 503:
             return interface.Unavailable('HTTP status 503')
-        return _Reply(response.status, response.content)
+        return _reply.Reply(response.status, response.content)
 
 
 def _object_path(name: str) -> str:
     return '/objects/' + urllib.parse.quote(name, safe='')
-
-
-_T = typing.TypeVar('_T')
-
-
-def _decode(
-    reply: _Reply | interface.Unavailable | interface.Unknown,
-    wanted: type[_T],
-) -> _T | interface.Unavailable:
-    if not isinstance(reply, _Reply):
-        return interface.Unavailable(reply.detail)
-    if reply.status != 200:
-        return interface.Unavailable(f'HTTP status {reply.status}')
-    try:
-        return msgspec.json.decode(reply.body, type=wanted)
-    except msgspec.DecodeError as error:
-        return interface.Unavailable(str(error))
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -6,12 +6,12 @@
 import collections.abc
 import dataclasses
 import socket
-import typing
 import urllib.parse
 
 import httpcore
 import msgspec
 
+from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
 
 CALL_TIMEOUT_MS = 1_500
@@ -34,18 +34,6 @@
 _HISTORY_GONE = 410
 _CONFLICT = 412
 
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-    httpcore.ConnectionNotAvailable,
-)
-_BROKEN = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 class _WireRow(msgspec.Struct):
     """Row as the store sends it; `ver` counts all changes of the store."""
@@ -99,12 +87,6 @@
     """The store no longer keeps the changes that were asked for."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    status: int
-    body: bytes
-
-
 class StoreClient:
     """Access tables of the platform's store.
 
@@ -141,7 +123,7 @@
             if start:
                 query['from'] = start
             reply = await self._call('GET', 'rows-get', query)
-            page = _decode(reply, _WireRows)
+            page = _reply.decode(reply, _WireRows)
             if isinstance(page, interface.Unavailable):
                 return page
             rows.extend(_decode_rows(page.rows))
@@ -167,9 +149,9 @@
         reply = await self._call(
             'GET', 'rows-feed', query, wait_ms + _FEED_MARGIN_MS
         )
-        if isinstance(reply, _Reply) and reply.status == _HISTORY_GONE:
+        if isinstance(reply, _reply.Reply) and reply.status == _HISTORY_GONE:
             return HistoryGone()
-        page = _decode(reply, _WireRows)
+        page = _reply.decode(reply, _WireRows)
         if isinstance(page, interface.Unavailable):
             return page
         return Snapshot(tuple(_decode_rows(page.rows)), page.ver)
@@ -217,7 +199,7 @@
         )
         if isinstance(reply, interface.Unknown):
             return reply
-        version = _decode(reply, _WireVersion)
+        version = _reply.decode(reply, _WireVersion)
         return (
             version
             if isinstance(version, interface.Unavailable)
@@ -237,7 +219,7 @@
         query: collections.abc.Mapping[str, object],
         timeout_ms: int = CALL_TIMEOUT_MS,
         content: bytes | None = None,
-    ) -> _Reply | interface.Unavailable | interface.Unknown:
+    ) -> _reply.Reply | interface.Unavailable | interface.Unknown:
         url = f'{self._base_url}/{path}'
         if query:
             url += '?' + urllib.parse.urlencode(query)
@@ -256,12 +238,12 @@
                 content=content,
                 extensions={'timeout': timeouts},
             )
-        except _NOT_SENT as error:
+        except _reply.NOT_SENT as error:
             return interface.Unavailable(type(error).__name__)
-        except _BROKEN as error:
+        except _reply.BROKEN as error:
             await self._drop_idle()
             return interface.Unknown(type(error).__name__)
-        return _Reply(response.status, response.content)
+        return _reply.Reply(response.status, response.content)
 
 
 _JSON_HEADER = (b'Content-Type', b'application/json')
@@ -277,20 +259,3 @@
             # Decoding the empty content reports the row as unusable.
             value = b''
         yield StoredRow(row.key, value, row.ver, row.deleted)
-
-
-_T = typing.TypeVar('_T')
-
-
-def _decode(
-    reply: _Reply | interface.Unavailable | interface.Unknown,
-    wanted: type[_T],
-) -> _T | interface.Unavailable:
-    if not isinstance(reply, _Reply):
-        return interface.Unavailable(reply.detail)
-    if reply.status != 200:
-        return interface.Unavailable(f'HTTP status {reply.status}')
-    try:
-        return msgspec.json.decode(reply.body, type=wanted)
-    except msgspec.DecodeError as error:
-        return interface.Unavailable(f'malformed answer: {error}')
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -393,6 +393,6 @@
     return pickers.Query(
         request.service,
         request.affinity_key if request.route.has_affinity else b'',
-        request.route.home_regions,
+        request.route.allowed_regions,
         max(0.0, useful_ms),
     )
--- a/wigeonhatch/routes/model.py
+++ b/wigeonhatch/routes/model.py
@@ -42,7 +42,7 @@
         shares: Services and their weights.
         max_attempts: Targets that one request may be sent to.
         has_affinity: Whether targets remember the objects they handled.
-        home_regions: Regions that may serve the requests; empty for all.
+        allowed_regions: Regions that may serve the requests; empty for all.
     """
 
     name: str
@@ -55,7 +55,7 @@
     shares: tuple[ServiceShare, ...]
     max_attempts: int
     has_affinity: bool
-    home_regions: frozenset[str]
+    allowed_regions: frozenset[str]
 
     @property
     def is_idempotent(self) -> bool:
@@ -71,14 +71,14 @@
         health_path: Path of the health check.
         max_connections: Connections that a target accepts from all hosts.
         warmup_ms: Time for which a target is cold after its start.
-        warmup_per_s: Requests per second that a cold target tolerates; 0
+        cold_rate_per_s: Requests per second that a cold target tolerates; 0
             for no bound.
     """
 
     health_path: str
     max_connections: int
     warmup_ms: int
-    warmup_per_s: float
+    cold_rate_per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
