Call what the project had: rendezvous hashing, body length, socket options

Cause: a reading of the whole change. The owners of cold targets were ranked by a second rendezvous hash, the declared length of a body was read a second time and a malformed one became 0, the options that detect silent connections stood in two modules, header fields were collected twice for each request, and the id of a request was decoded in three places. Picker.parts, EjectionTable.forget and the name of the answering target had no user.

Behaviour: which two hosts own a cold target changes with the hash, their number and rate do not. A malformed length is refused as by the other interface; the HTTP parser refuses it before.

Left: TargetRegistry.is_usable and Roster.remove are used by tests only; Relay._may_repeat and retry.may_repeat decide alike but differ in which results are final.

--- a/tests/steering/test_step_writer.py
+++ b/tests/steering/test_step_writer.py
@@ -11,7 +11,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
 from wigeonhatch.standins import memory_platform
-from wigeonhatch.steering import ownership
+from wigeonhatch.steering import rendezvous
 from wigeonhatch.steering import split
 from wigeonhatch.steering import step
 from wigeonhatch.steering import step_writer
@@ -28,7 +28,7 @@
         self.clock = clocks.ManualClock()
         self.platform = memory_platform.MemoryPlatform(self.clock)
         self.config = examples.build_config()
-        names = ownership.rank(self.config.config.host_by_name, 'step/ledger')
+        names = rendezvous.rank(self.config.config.host_by_name, 'step/ledger')
         self.clients = [self.platform.client() for _ in names]
         self.tables = [split.SplitTable(self.clock) for _ in names]
         self.writers = [
--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -149,10 +149,6 @@
             failure_ratio=round(health.ratio, 2),
         )
 
-    def forget(self, target: str) -> None:
-        """Drop what is known of a target that has gone or restarted."""
-        self._health_by_target.pop(target, None)
-
     def keep(self, targets: frozenset[str]) -> None:
         """Drop all targets but some.
 
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -111,7 +111,6 @@
         self._loads = load_table
         self._ejections = ejections
         self._warmups = warmups
-        self._clock = clock
         self._service_by_name: dict[str, model.ServiceTraits] = {}
         self._split_by_service: dict[str, region_split.RegionSplit] = {}
         self._busy_by_service: dict[str, dict[str, float]] = {}
@@ -196,13 +195,6 @@
                 }
             )
 
-    def parts(self) -> dict[str, dict[str, float]]:
-        """Part of each region by service, for the log and the metrics."""
-        return {
-            service: split.part_by_region
-            for service, split in self._split_by_service.items()
-        }
-
     def _count_busy(
         self, region_by_host: dict[str, str]
     ) -> dict[tuple[str, str], int]:
--- a/wigeonhatch/balance/warmup.py
+++ b/wigeonhatch/balance/warmup.py
@@ -4,9 +4,8 @@
 
 import collections.abc
 
-import xxhash
-
 from wigeonhatch import clock as clocks
+from wigeonhatch.steering import rendezvous
 
 OWNERS = 2
 """Hosts that send to one cold target, so that the loss of one leaves one."""
@@ -53,13 +52,7 @@
         """
         if per_s <= 0:
             return True
-        hosts = self._live_hosts()
-        owners = sorted(
-            hosts,
-            key=lambda host: xxhash.xxh3_64_intdigest(
-                f'{host}\0{target}'.encode()
-            ),
-        )[:OWNERS]
+        owners = rendezvous.rank(self._live_hosts(), target)[:OWNERS]
         if self._host not in owners:
             return False
         return self._refill(target, per_s / len(owners)).tokens >= 1.0
--- a/wigeonhatch/peers/membership.py
+++ b/wigeonhatch/peers/membership.py
@@ -14,7 +14,7 @@
 from wigeonhatch.peers import drains
 from wigeonhatch.peers import peers_pb2
 from wigeonhatch.peers import records
-from wigeonhatch.steering import ownership
+from wigeonhatch.steering import rendezvous
 
 _LOG = logging.getLogger(__name__)
 SUSPECT_MS = 1_500
@@ -162,7 +162,7 @@
             if self.is_reachable(actor)
         ]
         if len(actors) > 1:
-            return ownership.rank(actors, f'standby/{host}')[0]
+            return rendezvous.rank(actors, f'standby/{host}')[0]
         return actors[0] if actors else None
 
     def load(self, host: str, service: str) -> records.LoadSummary | None:
--- a/wigeonhatch/peers/partners.py
+++ b/wigeonhatch/peers/partners.py
@@ -5,7 +5,7 @@
 import collections.abc
 import random
 
-from wigeonhatch.steering import ownership
+from wigeonhatch.steering import rendezvous
 
 PARTNER_LIMIT = 6
 _STRAY_PERCENT = 10
@@ -53,7 +53,7 @@
         if names is not self._known:
             self._known = names
             subject = f'partner/{self._host}'
-            self._usual = ownership.rank(names, subject)[:PARTNER_LIMIT]
+            self._usual = rendezvous.rank(names, subject)[:PARTNER_LIMIT]
         chosen = self._rng.sample(self._usual, min(count, len(self._usual)))
         if self._rng.randrange(100) < _STRAY_PERCENT * count:
             stray = self._rng.choice(names)
--- a/wigeonhatch/peers/poller.py
+++ b/wigeonhatch/peers/poller.py
@@ -14,7 +14,7 @@
 from wigeonhatch.peers import membership as members
 from wigeonhatch.peers import platform_source
 from wigeonhatch.platform import interface
-from wigeonhatch.steering import ownership
+from wigeonhatch.steering import rendezvous
 
 POLLERS_PER_DOMAIN = 2
 INTERVAL_MS = 1_000
@@ -70,7 +70,7 @@
             if host.domain == self._domain
             and self._membership.is_reachable(name)
         ]
-        first = ownership.rank(names, f'poller/{self._domain}')
+        first = rendezvous.rank(names, f'poller/{self._domain}')
         return self._membership.host in first[:POLLERS_PER_DOMAIN]
 
     async def run(self) -> None:
--- a/wigeonhatch/platform/edge.py
+++ b/wigeonhatch/platform/edge.py
@@ -38,7 +38,6 @@
         is_signed: Whether the target vouches for the response.
         load: Running requests, waiting requests and slots, if reported.
         warmup_left_ms: Time for which the target stays cold; 0 if not said.
-        answering_target: Name of the target, if it gives it.
     """
 
     request_id: bytes
@@ -46,7 +45,6 @@
     is_signed: bool
     load: tuple[int, int, int] | None
     warmup_left_ms: int
-    answering_target: str
 
 
 def read_caller_fields(by_name: dict[bytes, bytes]) -> CallerFields:
@@ -75,7 +73,6 @@
         names.SIGNATURE in by_name,
         _read_load(by_name.get(names.LOAD_REPORT)),
         _read_number(by_name.get(names.WARMUP_LEFT_MS)) or 0,
-        by_name.get(names.ANSWERING_TARGET, b'').decode('ascii', 'replace'),
     )
 
 
--- a/wigeonhatch/platform/names.py
+++ b/wigeonhatch/platform/names.py
@@ -16,8 +16,6 @@
 DEADLINE_MS = b'deadline-ms'
 RETRY_AFTER = b'retry-after'
 TARGET_NAME = b'target-instance'
-# In a response: the target that holds the address now.
-ANSWERING_TARGET = b'instance-id'
 NOT_RUN = b'not-executed'
 SIGNATURE = b'response-signature'
 LOAD_REPORT = b'server-load'
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -5,12 +5,12 @@
 import base64
 import collections.abc
 import dataclasses
-import socket
 import urllib.parse
 
 import httpcore
 import msgspec
 
+from wigeonhatch import sockets
 from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
 
@@ -22,17 +22,7 @@
 """Time beyond the wait of a feed until its connection counts as silent."""
 _MAX_CONNECTIONS = 5
 _PAGE_ROWS = 500
-# A connection that went silent ends after about 3 s, while an answer of a
-# call for changes may take longer.
-_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
-)
 _HISTORY_GONE = 410
-_CONFLICT = 412
 
 
 class _WireRow(msgspec.Struct):
@@ -99,7 +89,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=10,
-            socket_options=_SOCKET_OPTIONS,
+            socket_options=sockets.DETECT_SILENCE,
         )
 
     async def aclose(self) -> None:
--- a/wigeonhatch/requests/_head.py
+++ b/wigeonhatch/requests/_head.py
@@ -10,6 +10,7 @@
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.config import model as config_model
+from wigeonhatch.requests import _fields
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import keys
 from wigeonhatch.requests import model
@@ -118,7 +119,7 @@
         return outcome.Failure(code.KEY_REQUIRED)
     if key and keys.parse_key(key) is None:
         return outcome.Failure(code.KEY_MALFORMED)
-    length = _parse_length(by_name, limits)
+    length = _fields.parse_length(by_name, limits.max_body_bytes)
     if isinstance(length, outcome.Failure):
         return length
     if scope['query_string']:
@@ -164,24 +165,3 @@
         codes.ResultCode.DEADLINE_INVALID,
         f'{value[:32]!r} is not from 1 to {limits.max_deadline_ms} ms',
     )
-
-
-def _parse_length(
-    by_name: collections.abc.Mapping[bytes, bytes], limits: settings.Limits
-) -> int | outcome.Failure:
-    if b'transfer-encoding' in by_name:
-        return -1
-    value = by_name.get(b'content-length')
-    if value is None:
-        return 0
-    if not value.isdigit():
-        return outcome.Failure(
-            codes.ResultCode.BAD_REQUEST, 'content-length is no number'
-        )
-    length = int(value[:20])
-    if length > limits.max_body_bytes:
-        return outcome.Failure(
-            codes.ResultCode.BODY_TOO_LARGE,
-            f'{length} bytes, the limit is {limits.max_body_bytes}',
-        )
-    return length
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -12,6 +12,7 @@
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.platform import edge
 from wigeonhatch.requests import _asgi
+from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import headers as fields
@@ -92,13 +93,14 @@
         received_ms = self._clock.now_ms
         reply = _asgi.AsgiReply(send, scope['method'] == 'HEAD')
         control = model.RequestControl()
-        request = self._parse(scope, received_ms)
+        by_name = dict(scope['headers'])
+        request = self._parse(scope, by_name, received_ms)
         result: relay_model.Relayed | relay_model.Refused
         if isinstance(request, outcome.Failure):
             result = relay_model.Refused(request, pickers.MIN_RETURN_MS)
         else:
             result = await self._receive_and_run(
-                scope, receive, request, reply, control
+                by_name, receive, request, reply, control
             )
         if control.cause is not codes.ResultCode.CALLER_GONE:
             await self._answer(reply, request, result)
@@ -106,7 +108,7 @@
 
     async def _receive_and_run(
         self,
-        scope: _asgi.Scope,
+        by_name: dict[bytes, bytes],
         receive: _asgi.Receive,
         request: relay_model.RelayRequest,
         reply: _asgi.AsgiReply,
@@ -115,9 +117,9 @@
         config = self._routes.config
         assert config is not None
         limits = config.limits
-        length = _read_length(dict(scope['headers']))
-        if length > limits.max_body_bytes:
-            return _refuse(codes.ResultCode.BODY_TOO_LARGE)
+        length = _fields.parse_length(by_name, limits.max_body_bytes)
+        if isinstance(length, outcome.Failure):
+            return relay_model.Refused(length, pickers.MIN_RETURN_MS)
         caller = _asgi.CallerConnection(
             receive, reply, control, limits.header_timeout_ms
         )
@@ -140,17 +142,19 @@
             return await self._relay.run(request, body, control)
         except Exception:
             _LOG.exception(
-                'request failed', extra={'request_id': request.request_id}
+                'request failed', extra={'request_id': request.id_text}
             )
             return _refuse(codes.ResultCode.INTERNAL)
 
     def _parse(
-        self, scope: _asgi.Scope, received_ms: int
+        self,
+        scope: _asgi.Scope,
+        by_name: dict[bytes, bytes],
+        received_ms: int,
     ) -> relay_model.RelayRequest | outcome.Failure:
         config = self._routes.config
         if config is None or self.is_refusing:
             return outcome.Failure(codes.ResultCode.NOT_READY)
-        by_name = dict(scope['headers'])
         raw_path: bytes = scope['raw_path']
         host_name: bytes = by_name.get(b'host', b'')
         route = self._routes.find(
@@ -197,7 +201,7 @@
             ]
         else:
             request_id = (
-                request.request_id.decode('ascii', 'replace')
+                request.id_text
                 if isinstance(request, relay_model.RelayRequest)
                 else ''
             )
@@ -223,7 +227,7 @@
         service = region = request_id = route = ''
         if isinstance(request, relay_model.RelayRequest):
             service, route = request.service, request.route.name
-            request_id = request.request_id.decode('ascii', 'replace')
+            request_id = request.id_text
         if isinstance(result, relay_model.Relayed):
             region = self._region_of(result.target)
             self._on_finished(service, region, codes.ResultCode.OK, took_ms)
@@ -251,13 +255,6 @@
     return relay_model.Refused(outcome.Failure(code), pickers.MIN_RETURN_MS)
 
 
-def _read_length(by_name: dict[bytes, bytes]) -> int:
-    if b'transfer-encoding' in by_name:
-        return -1
-    value = by_name.get(b'content-length', b'0')
-    return int(value) if value.isdigit() else 0
-
-
 def _status_of(failure: outcome.Failure) -> int:
     """Choose a status that tells the truth on whether the request ran."""
     status = failure.info.http_status
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -210,7 +210,7 @@
         log.event(
             _LOG,
             'attempt',
-            request_id=request.request_id.decode('ascii', 'replace'),
+            request_id=request.id_text,
             target=name,
             affinity=request.affinity_key.decode('ascii', 'replace'),
             load=load,
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -39,6 +39,11 @@
     received_ms: int
     end_ms: int
 
+    @property
+    def id_text(self) -> str:
+        """Identity as text, for the log and refusals."""
+        return self.request_id.decode('ascii', 'replace')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relayed:
--- a/wigeonhatch/steering/ownership.py
+++ b/wigeonhatch/steering/ownership.py
@@ -2,30 +2,10 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 
-import xxhash
-
 from wigeonhatch.config import model
-
-
-def rank(names: collections.abc.Iterable[str], subject: str) -> list[str]:
-    """Order names by rendezvous hashing.
-
-    Args:
-        names: Candidates.
-        subject: What the candidates are ranked for.
-
-    Returns:
-        The candidates, best first; the same on every host.
-    """
-
-    def weigh(name: str) -> tuple[int, str]:
-        text = f'{subject}\0{name}'
-        return xxhash.xxh3_64_intdigest(text.encode()), name
-
-    return sorted(names, key=weigh, reverse=True)
+from wigeonhatch.steering import rendezvous
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +58,9 @@
         ):
             others = [other for other in pool if other != name]
             if others:
-                standby_by_host[name] = rank(others, f'standby/{name}')[0]
+                standby_by_host[name] = rendezvous.rank(
+                    others, f'standby/{name}'
+                )[0]
                 break
     targets_by_owner: dict[str, list[str]] = {
         name: [] for name in config.host_by_name
@@ -102,7 +84,7 @@
             or list(config.host_by_name)
         )
         if pool:
-            owner_by_target[name] = rank(pool, f'owner/{name}')[0]
+            owner_by_target[name] = rendezvous.rank(pool, f'owner/{name}')[0]
     return owner_by_target
 
 
--- a/wigeonhatch/steering/step_writer.py
+++ b/wigeonhatch/steering/step_writer.py
@@ -15,7 +15,7 @@
 from wigeonhatch.config import model
 from wigeonhatch.platform import interface
 from wigeonhatch.steering import limiter
-from wigeonhatch.steering import ownership
+from wigeonhatch.steering import rendezvous
 from wigeonhatch.steering import split
 from wigeonhatch.steering import step as steps
 
@@ -127,7 +127,7 @@
                 await self._attempt(name, versioned)
 
     def _rank(self, service: str, config: model.SteeringConfig) -> int:
-        ranked = ownership.rank(config.host_by_name, f'step/{service}')
+        ranked = rendezvous.rank(config.host_by_name, f'step/{service}')
         # A host that the configuration does not list yet comes last.
         return (
             ranked.index(self._host) if self._host in ranked else len(ranked)
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -12,20 +12,16 @@
 import collections
 import collections.abc
 import select
-import socket
 import typing
 
 import httpcore
 
+from wigeonhatch import sockets
+
 _HIGH_WATER_BYTES = 256 * 1024
 _LOW_WATER_BYTES = 64 * 1024
 # A target that has responded and does not read on will not read the rest.
 _EARLY_RESPONSE_WAIT_S = 1.0
-# A connection that went silent ends after about 2 s, while the longest round
-# trip is below 100 ms.
-_KEEPALIVE_S = 1
-_KEEPALIVE_PROBES = 2
-_USER_TIMEOUT_MS = 2_000
 
 
 class TargetStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
@@ -54,10 +50,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = typing.cast('asyncio.Transport', transport)
-        _detect_silence(transport.get_extra_info('socket'))
-        self._poll.register(
-            transport.get_extra_info('socket').fileno(), select.POLLIN
-        )
+        connection = transport.get_extra_info('socket')
+        for level, option, value in sockets.DETECT_SILENCE:
+            connection.setsockopt(level, option, value)
+        self._poll.register(connection.fileno(), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes until they are read."""
@@ -203,17 +199,6 @@
             timer.cancel()
 
 
-def _detect_silence(connection: socket.socket) -> None:
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    ):
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 def _settle(future: asyncio.Future[bool], is_woken: bool) -> None:
     if not future.done():
         future.set_result(is_woken)
