Let one host of each failure domain follow the store

The calls grew with hosts times changes, which the store does not bear at the size to design for.

Now the first host of a failure domain that reaches the store follows it. The others hear of a newer change by the states of their peers and read the changed rows from the nearest one; whole tables only where the peer's history is too short. A host that does not read calls the store every 30 s, so that it knows whether it could take over, and at once if its peers give nothing. A host reads the list of hosts after it is listed itself, once instead of three times.

A peer whose clock was set back starts with a lower incarnation and was ignored for as long as the jump; it is believed once the earlier one is silent.

Ruled out: longer waits of the calls; a change ends all of them alike. One reader for each region: a failure domain that is cut off would have none.

--- /dev/null
+++ b/tests/entry/test_row_cache.py
@@ -0,0 +1,46 @@
+"""Tests of the rows that a host keeps for itself and its peers."""
+
+from __future__ import annotations
+
+import pytest
+
+from wigeonhatch.entry import row_cache
+from wigeonhatch.platform import store as stores
+
+
+def row(key: str, version: int, is_deleted: bool = False) -> stores.StoredRow:
+    """Build one row."""
+    return stores.StoredRow(key, b'{}', version, is_deleted)
+
+
+def test_peer_gets_changes_and_deletions_alone() -> None:
+    """Guards against whole tables that are sent for each change."""
+    cache = row_cache.RowCache()
+    cache.replace([row('a', 3), row('b', 4)], 10)
+    cache.change([row('c', 11), row('a', 12, True)], 13)
+    shared = cache.share(11, 0)
+    assert not shared.is_whole
+    assert shared.rows == (row('a', 12, True),)
+    assert shared.version == 13
+    assert cache.changed_version == 12
+    assert cache.share(13, 0).rows == ()
+
+
+def test_peer_that_is_far_behind_gets_all_rows() -> None:
+    """Guards against deletions that a peer never hears of."""
+    cache = row_cache.RowCache()
+    cache.replace([row('a', 3)], 10)
+    assert cache.share(9, 0).is_whole
+    for version in range(11, 11 + row_cache.MAX_CHANGES):
+        cache.change([row('b', version)], version)
+    assert not cache.share(10, 0).is_whole
+    cache.change([row('a', 5_000, True)], 5_000)
+    shared = cache.share(10, 0)
+    assert shared.is_whole
+    assert [item.key for item in shared.rows] == ['b']
+
+
+def test_table_that_was_not_read_is_not_shared() -> None:
+    """Guards against an empty table that a peer takes for the whole one."""
+    with pytest.raises(ValueError):
+        row_cache.RowCache().share(0, 0)
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -143,6 +143,9 @@
                 ledgers.hash_content(method, path, body),
             )
         )
+        work.add_done_callback(
+            lambda task: task.cancelled() or task.exception()
+        )
         # A request is dropped when its connection closes.
         gone = asyncio.ensure_future(_wait_for_end(reader))
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -106,6 +106,21 @@
         if outage_ms > MIN_OUTAGE_MS:
             self._grace_until_ms = self._clock.now_ms + RETURN_GRACE_MS
 
+    @property
+    def grace_left_ms(self) -> int:
+        """Time for which missing targets are kept in ms."""
+        return max(0, self._grace_until_ms - self._clock.now_ms)
+
+    def keep_missing(self, left_ms: int) -> None:
+        """Keep missing targets as long as a peer does.
+
+        Args:
+            left_ms: Time for which the peer keeps them in ms.
+        """
+        self._grace_until_ms = max(
+            self._grace_until_ms, self._clock.now_ms + left_ms
+        )
+
     def drop_missing(self) -> None:
         """Remove targets that are still missing after the grace."""
         if self._missing and not self._is_in_grace():
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -29,6 +29,7 @@
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import table_follower
 from wigeonhatch.metrics import collector
+from wigeonhatch.peers import row_share
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
@@ -94,9 +95,10 @@
             self._store,
             self._loads,
             lambda: self.is_serving,
+            self._reaches_store,
             lambda: self._config_version,
             lambda: {
-                name: follower.changed_version
+                name: follower.rows.changed_version
                 for name, follower in self._follower_by_table.items()
             },
             self._on_peer_changes,
@@ -183,8 +185,7 @@
                 tasks.start_soon(server.serve)
             for follower in self._follower_by_table.values():
                 tasks.start_soon(follower.run)
-            tasks.start_soon(self._fleet.register)
-            tasks.start_soon(self._fleet.follow_list)
+            tasks.start_soon(self._fleet.join)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._adjust)
             await self._wait_for_signal()
@@ -217,7 +218,9 @@
                 on_snapshot,
                 on_changes,
                 catalog.on_store_regained,
-                lambda: len(self._fleet.live_hosts()),
+                catalog.keep_missing,
+                lambda: self._fleet.is_reader,
+                self._fleet.count_domains,
                 self._fleet.ask_peer,
                 self._clock,
                 self._rng,
@@ -225,9 +228,19 @@
             for table, (on_snapshot, on_changes) in appliers_by_table.items()
         }
 
-    def _read_rows(self, table: str) -> stores.Snapshot | None:
+    def _reaches_store(self) -> bool:
+        return not self._is_stopping and all(
+            follower.is_connected
+            for follower in self._follower_by_table.values()
+        )
+
+    def _read_rows(
+        self, table: str, after: int
+    ) -> row_share.SharedRows | None:
         follower = self._follower_by_table.get(table)
-        return None if follower is None else follower.snapshot()
+        if follower is None or follower.rows.version is None:
+            return None
+        return follower.rows.share(after, self._catalog.grace_left_ms)
 
     def _on_peer_changes(self, changed_by_table: dict[str, int]) -> None:
         for table, version in changed_by_table.items():
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -10,6 +10,7 @@
 from wigeonhatch import settings as settings_module
 from wigeonhatch.balance import loads
 from wigeonhatch.entry import edge_settings
+from wigeonhatch.peers import readers
 from wigeonhatch.peers import roster as rosters
 from wigeonhatch.peers import row_share
 from wigeonhatch.peers import state_link
@@ -19,13 +20,10 @@
 
 _REGISTER_PAUSE_MS = 500
 """Pause between attempts to list this host; one write each."""
-_FIRST_LISTS = 3
-"""Readings of the list in quick succession after the start, as hosts of one
-fleet start within 1 s."""
-_FIRST_LIST_PAUSE_MS = 1_000
-"""Pause between them."""
+_ALONE_PAUSE_MS = 1_000
+"""Pause between readings of the list while no peer is known."""
 _LIST_PAUSE_MS = 15_000
-"""Pause between later readings; only hosts that hear no peer need them."""
+"""Pause between readings by hosts that follow the store."""
 _STOP_REPEATS = 3
 """Datagrams sent at once when the host stops, against their loss."""
 _LOG = logging.getLogger(__name__)
@@ -39,6 +37,7 @@
         store: Client of the platform's store.
         load_table: Requests in progress.
         is_serving: Tells whether callers may be sent to this host.
+        reaches_store: Tells whether the last calls to the store were answered.
         config_version: Version of the routing configuration in force.
         changed_by_table: Newest change that this host has seen, by table.
         on_peer_changes: Called with the same of each peer.
@@ -51,6 +50,7 @@
         store: stores.StoreClient,
         load_table: loads.LoadTable,
         is_serving: collections.abc.Callable[[], bool],
+        reaches_store: collections.abc.Callable[[], bool],
         config_version: collections.abc.Callable[[], int],
         changed_by_table: collections.abc.Callable[[], dict[str, int]],
         on_peer_changes: collections.abc.Callable[[dict[str, int]], None],
@@ -66,6 +66,7 @@
         self._store = store
         self._loads = load_table
         self._is_serving = is_serving
+        self._reaches_store = reaches_store
         self._config_version = config_version
         self._changed_by_table = changed_by_table
         self._on_peer_changes = on_peer_changes
@@ -73,7 +74,6 @@
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._ticks = 0
-        self._lists = 0
         self._link = state_link.StateLink(self._on_state)
 
     async def open(self) -> None:
@@ -95,8 +95,7 @@
             if ip != self._settings.ip:
                 self.roster.learn(f'seed {ip}', ip)
 
-    async def register(self) -> None:
-        """List this host in the store."""
+    async def _register(self) -> None:
         row = rosters.encode_entry(self._settings.ip, self._incarnation)
         while True:
             result = await self._store.put_row(
@@ -134,58 +133,87 @@
                 self._loads.forget(host)
             await self._clock.sleep_ms(state_link.INTERVAL_MS)
 
-    async def follow_list(self) -> None:
-        """Read the list of hosts now and then.
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host follows the store for its failure domain."""
+        own = self._settings
+        reaches_store_by_host = {
+            state.host: state.reaches_store
+            for state in self.peers.live()
+            if state.domain == own.domain
+        }
+        reaches_store_by_host[own.host] = self._reaches_store()
+        return readers.choose_reader(reaches_store_by_host) == own.host
+
+    def count_domains(self) -> int:
+        """Number of failure domains with live hosts, and so of readers."""
+        domains = {state.domain for state in self.peers.live()}
+        return len(domains | {self._settings.domain})
+
+    async def join(self) -> None:
+        """List this host, and read the list of the others now and then.
 
-        A host that starts sends its state to all that are listed, which
-        makes it known to them; the list is needed for hosts that start.
+        A host reads the list after it is listed itself, so that of two hosts
+        that start together at least one knows the other; the state that it
+        sends makes it known there as well.
         """
+        await self._register()
         while True:
-            found = await self._store.list_rows(names.HOST_TABLE)
-            if isinstance(found, interface.Unavailable):
-                log.event(_LOG, 'hosts not read', reason=found.detail)
-                await self._clock.sleep_ms(_REGISTER_PAUSE_MS)
-                continue
-            for row in found.rows:
-                try:
-                    self.roster.put(row.key, row.value)
-                except ValueError as error:
-                    log.event(
-                        _LOG, 'host entry unusable', host=row.key, reason=error
-                    )
-            hosts = {row.key for row in found.rows} | self.live_hosts()
-            self.roster.keep(hosts)
-            is_alone = len(self.roster.ip_by_host) == 0
-            await self._clock.sleep_ms(
-                _FIRST_LIST_PAUSE_MS
-                if is_alone or self._lists < _FIRST_LISTS
-                else _LIST_PAUSE_MS
-            )
-            self._lists += 1
+            is_read = await self._read_list()
+            pause_ms = _LIST_PAUSE_MS
+            if not is_read:
+                pause_ms = _REGISTER_PAUSE_MS
+            elif not self.roster.ip_by_host:
+                pause_ms = _ALONE_PAUSE_MS
+            await self._clock.sleep_ms(pause_ms)
+            while self.roster.ip_by_host and not self.is_reader:
+                await self._clock.sleep_ms(_LIST_PAUSE_MS)
+
+    async def _read_list(self) -> bool:
+        found = await self._store.list_rows(names.HOST_TABLE)
+        if isinstance(found, interface.Unavailable):
+            log.event(_LOG, 'hosts not read', reason=found.detail)
+            return False
+        for row in found.rows:
+            try:
+                self.roster.put(row.key, row.value)
+            except ValueError as error:
+                log.event(
+                    _LOG, 'host entry unusable', host=row.key, reason=error
+                )
+        hosts = {row.key for row in found.rows} | self.live_hosts()
+        self.roster.keep(hosts)
+        return True
 
     async def ask_peer(
-        self, table: str, changed_version: int
-    ) -> stores.Snapshot | None:
-        """Read a table from the peer that has seen its newest change.
+        self, table: str, changed_version: int, after: int
+    ) -> row_share.SharedRows | None:
+        """Read a table from the nearest peer that has seen a newer change.
 
         Args:
             table: Name of the table.
             changed_version: Newest change that this host has seen.
+            after: Change of the store up to which it knows the table.
 
         Returns:
             The rows; None if no peer has seen a newer change.
         """
-        newer = [
-            (state.changed_by_table.get(table, 0), state.host)
+        own = self._settings
+        newer = (
+            (
+                state.domain == own.domain,
+                state.region == own.region,
+                state.changed_by_table[table],
+                state.host,
+            )
             for state in self.peers.live()
-        ]
-        version, host = max(newer, default=(0, ''))
-        if version <= changed_version:
-            return None
-        ip = self.roster.ip_by_host.get(host)
+            if state.changed_by_table.get(table, 0) > changed_version
+        )
+        nearest = max(newer, default=None)
+        ip = self.roster.ip_by_host.get(nearest[-1]) if nearest else None
         if ip is None:
             return None
-        return await row_share.fetch(ip, self._rows_port, table)
+        return await row_share.fetch(ip, self._rows_port, table, after)
 
     def live_hosts(self) -> frozenset[str]:
         """Names of the hosts that are reachable, with this one."""
@@ -240,6 +268,7 @@
             self._settings.region,
             self._settings.caller_address,
             self._is_serving(),
+            self._reaches_store(),
             self._config_version(),
             self._changed_by_table(),
             counts,
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -1,4 +1,4 @@
-"""Follow one table of the platform's store."""
+"""Follow one table of the platform's store, directly or through peers."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
+from wigeonhatch.entry import row_cache
+from wigeonhatch.peers import row_share
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
 
@@ -21,13 +23,19 @@
 MAX_WAIT_MS = 10_000
 """Longest wait; a store that swallowed the call is noticed after it."""
 RETURN_WAIT_MS = 100
-"""Wait of a call during an outage, so that its end is noticed soon."""
+"""Wait of a call during an outage, so that its end is noticed soon, and of a
+call that only checks the store."""
 GATHER_MS = 200
 """Pause after a change, so that changes in quick succession take one call;
 a change has to be in force within 2.5 s."""
 NUDGE_MS = 1_000
 """Shortest interval of calls that peers cause, so that a host that the store
 refuses does not flood it."""
+ROLE_MS = 250
+"""Longest time until a host finds out that it has to follow the store."""
+CHECK_MS = 30_000
+"""Interval at which such a host calls the store all the same, so that it knows
+whether it could take over."""
 FIRST_BACKOFF_MS = 100
 """First pause after a failed call, above the time of an ordinary answer."""
 MAX_BACKOFF_MS = 800
@@ -37,7 +45,7 @@
 Rows = collections.abc.Sequence[stores.StoredRow]
 OnRows = collections.abc.Callable[[Rows], None]
 AskPeer = collections.abc.Callable[
-    [str, int], collections.abc.Awaitable[stores.Snapshot | None]
+    [str, int, int], collections.abc.Awaitable[row_share.SharedRows | None]
 ]
 
 
@@ -51,9 +59,13 @@
         on_changes: Called with changed and deleted rows, in order.
         on_regained: Called after failed calls, before the rows, with the
             length of the outage in ms.
-        count_hosts: Number of hosts that follow the table.
-        ask_peer: Reads the table from a peer that has seen a newer change
-            than the given one; None if there is no such peer.
+        on_peer_grace: Called before rows of a peer with the time for which it
+            keeps rows that are missing in ms.
+        is_reader: Tells whether this host has to follow the store itself.
+        count_readers: Number of hosts that do.
+        ask_peer: Reads what has changed after a change of the store from a
+            peer that has seen a newer change than the given one; None if
+            there is no such peer.
         clock: Clock of the host.
         rng: Source of randomness.
     """
@@ -65,13 +77,14 @@
         on_snapshot: OnRows,
         on_changes: OnRows,
         on_regained: collections.abc.Callable[[int], None],
-        count_hosts: collections.abc.Callable[[], int],
+        on_peer_grace: collections.abc.Callable[[int], None],
+        is_reader: collections.abc.Callable[[], bool],
+        count_readers: collections.abc.Callable[[], int],
         ask_peer: AskPeer,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self.version: int | None = None
-        self.changed_version = 0
+        self.rows = row_cache.RowCache()
         self.last_answer_ms: int | None = None
         self.is_connected = False
         self._store = store
@@ -79,37 +92,27 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_regained = on_regained
-        self._count_hosts = count_hosts
+        self._on_peer_grace = on_peer_grace
+        self._is_reader = is_reader
+        self._count_readers = count_readers
         self._ask_peer = ask_peer
-        self._row_by_key: dict[str, stores.StoredRow] = {}
         self._clock = clock
         self._rng = rng
         self._failures = 0
         self._lost_ms = 0
         self._nudged_ms = clock.now_ms
+        self._called_ms: int | None = None
         self._call: anyio.CancelScope | None = None
+        self._news = anyio.Event()
+        self._news_version = 0
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            is_answered = False
-            with anyio.CancelScope() as self._call:
-                is_answered = await self._step()
-            self._call = None
-            if not is_answered and not await self._learn_from_peer():
-                ceiling_ms = min(
-                    MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 8)
-                )
-                self._failures += 1
-                await self._clock.sleep_ms(
-                    self._rng.randrange(ceiling_ms // 2, ceiling_ms)
-                )
-
-    def snapshot(self) -> stores.Snapshot | None:
-        """Rows as this host has read them; None before the first reading."""
-        if self.version is None:
-            return None
-        return stores.Snapshot(tuple(self._row_by_key.values()), self.version)
+            if self._is_call_due():
+                await self._call_store()
+            else:
+                await self._follow_peers()
 
     def on_peer_version(self, changed_version: int) -> None:
         """Ask the peers at once if one has seen a newer change.
@@ -117,41 +120,76 @@
         Args:
             changed_version: Newest change of the table that a peer has seen.
         """
+        if self.rows.version is None or changed_version <= self.rows.version:
+            return
+        self._news_version = changed_version
+        self._news.set()
         now_ms = self._clock.now_ms
-        if (
-            self.version is None
-            or changed_version <= self.version
-            or now_ms - self._nudged_ms < NUDGE_MS
-            or self._call is None
-        ):
+        if self._call is None or now_ms - self._nudged_ms < NUDGE_MS:
             return
         self._nudged_ms = now_ms
         log.event(
             _LOG,
             'table behind a peer',
             table=self._table,
-            version=self.version,
+            version=self.rows.version,
             peer_version=changed_version,
         )
         self._call.cancel()
 
+    def _is_call_due(self) -> bool:
+        return (
+            self._called_ms is None
+            or self.rows.version is None
+            or self._clock.now_ms - self._called_ms >= CHECK_MS
+            or self._is_reader()
+        )
+
+    async def _call_store(self) -> None:
+        is_answered = False
+        with anyio.CancelScope() as self._call:
+            is_answered = await self._step()
+        self._call = None
+        self._called_ms = self._clock.now_ms
+        if not is_answered and not await self._learn_from_peer():
+            ceiling_ms = min(
+                MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 8)
+            )
+            self._failures += 1
+            await self._clock.sleep_ms(
+                self._rng.randrange(ceiling_ms // 2, ceiling_ms)
+            )
+
+    async def _follow_peers(self) -> None:
+        """Wait until a peer has seen a newer change, and take it over."""
+        with anyio.move_on_after(ROLE_MS / 1_000):
+            await self._news.wait()
+        if not self._news.is_set():
+            return
+        # The reader of the own domain tells of the same change meanwhile.
+        await self._clock.sleep_ms(GATHER_MS)
+        self._news = anyio.Event()
+        is_behind = self._news_version > (self.rows.version or 0)
+        if is_behind and not await self._learn_from_peer():
+            self._called_ms = None
+
     async def _step(self) -> bool:
         started_ms = self._clock.now_ms
         wait_ms = self._wait_ms()
-        if self.version is None:
+        if self.rows.version is None:
             result: object = await self._store.list_rows(self._table)
         else:
             result = await self._store.follow(
-                self._table, self.version, wait_ms
+                self._table, self.rows.version, wait_ms
             )
         if isinstance(result, stores.HistoryGone):
             log.event(
                 _LOG,
                 'history gone',
                 table=self._table,
-                version=self.version,
+                version=self.rows.version,
             )
-            self.version = None
+            self.rows.version = None
             return True
         if isinstance(result, interface.Unavailable):
             # A call that was answered late shows that nothing was answered
@@ -163,56 +201,54 @@
             return False
         assert isinstance(result, stores.Snapshot)
         self._note_answer(result.version)
-        is_first = self.version is None
-        self.version = max(result.version, self.version or 0)
-        if is_first:
-            self._replace(result.rows)
-        elif result.rows:
-            self._change(result.rows)
-            with anyio.CancelScope(shield=True):
-                await self._clock.sleep_ms(GATHER_MS)
+        if self.rows.version is None:
+            self._replace(result.rows, result.version)
+        else:
+            self._change(result.rows, result.version)
+            if result.rows:
+                with anyio.CancelScope(shield=True):
+                    await self._clock.sleep_ms(GATHER_MS)
         return True
 
     async def _learn_from_peer(self) -> bool:
         """Take over what a peer has read, if that is newer."""
-        found = await self._ask_peer(self._table, self.changed_version)
-        if found is None or found.version <= (self.version or 0):
+        known = self.rows
+        found = await self._ask_peer(
+            self._table, known.changed_version, known.version or 0
+        )
+        if found is None or found.version <= (known.version or 0):
             return False
         log.event(
             _LOG,
             'rows of a peer taken over',
             table=self._table,
             version=found.version,
-            previous=self.version,
+            previous=known.version,
+            rows=len(found.rows),
+            whole=found.is_whole,
         )
-        if not self.is_connected and self.version is not None:
+        if not self.is_connected and known.version is not None:
             self._on_regained(self._clock.now_ms - self._lost_ms)
-        self.version = found.version
-        self._replace(found.rows)
+        self._on_peer_grace(found.grace_left_ms)
+        if found.is_whole:
+            self._replace(found.rows, found.version)
+        else:
+            self._change(found.rows, found.version)
         return True
 
-    def _replace(self, rows: Rows) -> None:
-        self._row_by_key = {row.key: row for row in rows}
-        self._note_versions(rows)
+    def _replace(self, rows: Rows, version: int) -> None:
+        self.rows.replace(rows, version)
         self._on_snapshot(rows)
 
-    def _change(self, rows: Rows) -> None:
-        for row in rows:
-            if row.is_deleted:
-                self._row_by_key.pop(row.key, None)
-            else:
-                self._row_by_key[row.key] = row
-        self._note_versions(rows)
-        self._on_changes(rows)
-
-    def _note_versions(self, rows: Rows) -> None:
-        for row in rows:
-            self.changed_version = max(self.changed_version, row.version)
+    def _change(self, rows: Rows, version: int) -> None:
+        self.rows.change(rows, version)
+        if rows:
+            self._on_changes(rows)
 
     def _wait_ms(self) -> int:
-        if not self.is_connected:
+        if not self.is_connected or not self._is_reader():
             return RETURN_WAIT_MS
-        wait_ms = FLEET_POLL_MS * self._count_hosts()
+        wait_ms = FLEET_POLL_MS * self._count_readers()
         wait_ms = min(MAX_WAIT_MS, max(MIN_WAIT_MS, wait_ms))
         # Hosts that start together must not call together for good.
         return self._rng.randrange(wait_ms * 3 // 4, wait_ms)
@@ -242,7 +278,7 @@
                 _LOG,
                 'store lost',
                 table=self._table,
-                version=self.version,
+                version=self.rows.version,
                 reason=reason,
             )
         self.is_connected = False
--- a/wigeonhatch/log.py
+++ b/wigeonhatch/log.py
@@ -164,6 +164,8 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # The daemon logs its own start and stop, once.
+    logging.getLogger('uvicorn').setLevel(logging.WARNING)
 
 
 def event(logger: logging.Logger, message: str, **fields: object) -> None:
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -39,6 +39,7 @@
         region: Region.
         caller_address: `IP:PORT` of the callers' interface.
         is_serving: Whether callers may be sent to it.
+        reaches_store: Whether its last call to the store was answered.
         config_version: Version of the routing configuration in force.
         changed_by_table: Newest change that it has seen, by table of the
             platform's store.
@@ -52,6 +53,7 @@
     region: str
     caller_address: str
     is_serving: bool
+    reaches_store: bool
     config_version: int
     changed_by_table: dict[str, int]
     count_by_target: dict[str, int]
@@ -76,6 +78,10 @@
     def on_state(self, state: HostState) -> bool:
         """Take over a state unless a newer one is known.
 
+        A host whose clock was set back starts with a lower incarnation. It
+        is believed once the incarnation before has fallen silent, since
+        datagrams of that one may still be on their way until then.
+
         Args:
             state: State of a peer.
 
@@ -83,10 +89,7 @@
             Whether it was taken over.
         """
         known = self._state_by_host.get(state.host)
-        if known is not None and (
-            (state.incarnation, state.sequence)
-            <= (known[1].incarnation, known[1].sequence)
-        ):
+        if known is not None and not self._is_newer(state, *known):
             return False
         self._state_by_host[state.host] = (self._clock.now_ms, state)
         if known is None or state.host in self._silent:
@@ -94,6 +97,14 @@
             log.event(_LOG, 'peer reached', host=state.host)
         return True
 
+    def _is_newer(
+        self, state: HostState, heard_ms: int, known: HostState
+    ) -> bool:
+        if state.incarnation != known.incarnation:
+            is_silent = self._clock.now_ms - heard_ms > SILENCE_MS
+            return is_silent or state.incarnation > known.incarnation
+        return state.sequence > known.sequence
+
     def live(self) -> list[HostState]:
         """States of the peers that have been heard lately."""
         oldest_ms = self._clock.now_ms - SILENCE_MS
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -212,6 +212,7 @@
             'attempt',
             request_id=request.id_text,
             target=name,
+            region=self._picker.region_of(target.domain),
             affinity=request.affinity_key.decode('ascii', 'replace'),
             load=load,
             wait_ms=round(picked.wait_ms),
