Apply the last change of a row, and keep no removed target for long

The peer's grace counts now, since the peer has followed the store. - Deletions that a reader finds by reading the whole table again, after a lost history, were no change to its peers. They count as one now.

A host that was cut off alone keeps missing targets no longer once a peer says that it followed the store all the time: entries lapse only if targets do not reach the store.

--- a/tests/entry/test_catalog.py
+++ b/tests/entry/test_catalog.py
@@ -129,3 +129,35 @@
     scene.catalog.on_store_regained(catalogs.MIN_OUTAGE_MS)
     scene.catalog.on_target_changes([gone('t0')])
     assert scene.names == set()
+
+
+def test_targets_that_leave_after_a_cut_are_not_kept() -> None:
+    """Guards against requests to a target that left while a host was cut off.
+
+    A peer followed the store all the time: no entry has lapsed. A peer that
+    lost the store later than this host shows nothing.
+    """
+    scene = _Scene()
+    scene.catalog.on_target_snapshot([target_row('t0'), target_row('t1')])
+    outage_ms = catalogs.MIN_OUTAGE_MS + 1
+    scene.catalog.on_store_regained(outage_ms)
+    scene.catalog.on_target_changes([gone('t0')])
+    scene.catalog.on_peer_followed(0)
+    scene.catalog.on_peer_followed(outage_ms - 1)
+    assert scene.names == {'t0', 't1'}
+    scene.catalog.on_peer_followed(outage_ms)
+    assert scene.names == {'t1'}
+    scene.catalog.on_target_changes([gone('t1')])
+    assert scene.names == set()
+
+
+def test_last_change_of_a_target_counts() -> None:
+    """Guards against a target that stays after it changed and was removed.
+
+    A host that reads several changes at once gets both in one answer.
+    """
+    scene = _Scene()
+    scene.catalog.on_target_changes([target_row('t0'), gone('t0')])
+    assert scene.names == set()
+    scene.catalog.on_target_changes([gone('t0'), target_row('t0', 10)])
+    assert scene.names == {'t0'}
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -50,9 +50,10 @@
             self.loads,
             lambda: self.is_serving,
             lambda: self.reaches_store,
+            lambda: 0,
             lambda: 3,
             lambda: {'op': 4},
-            self.peer_changes.append,
+            lambda state: self.peer_changes.append(state.changed_by_table),
             self.clock,
         )
 
@@ -75,6 +76,7 @@
             f'{ip}:80',
             is_serving,
             reaches_store,
+            0,
             3,
             {'op': 9},
             {'t1': 2},
--- a/tests/entry/test_row_cache.py
+++ b/tests/entry/test_row_cache.py
@@ -26,6 +26,14 @@
     assert cache.share(13, 0).rows == ()
 
 
+def test_peer_gets_the_last_change_of_a_row() -> None:
+    """Guards against answers that grow with the changes of few rows."""
+    cache = row_cache.RowCache()
+    cache.replace([], 10)
+    cache.change([row('a', 11), row('b', 12), row('a', 13, True)], 13)
+    assert set(cache.share(10, 0).rows) == {row('b', 12), row('a', 13, True)}
+
+
 def test_peer_that_is_far_behind_gets_all_rows() -> None:
     """Guards against deletions that a peer never hears of."""
     cache = row_cache.RowCache()
@@ -40,6 +48,20 @@
     assert [item.key for item in shared.rows] == ['b']
 
 
+def test_row_that_is_gone_after_reading_again_is_a_change() -> None:
+    """Guards against peers that keep a target deleted in a lost history.
+
+    They ask for rows only when somebody has seen a newer change.
+    """
+    cache = row_cache.RowCache()
+    cache.replace([row('a', 3), row('b', 4)], 10)
+    assert cache.changed_version == 4
+    cache.replace([row('a', 3), row('b', 4)], 12)
+    assert cache.changed_version == 4
+    cache.replace([row('b', 4)], 15)
+    assert cache.changed_version == 15
+
+
 def test_table_that_was_not_read_is_not_shared() -> None:
     """Guards against an empty table that a peer takes for the whole one."""
     with pytest.raises(ValueError):
--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -98,9 +98,12 @@
         before_ms = record.clock.now_ms
         await record.run_for()
         assert not record.follower.is_connected
+        assert record.follower.followed_ms == 0
         record.store.is_down = False
         await record.run_for()
         assert record.follower.is_connected
+        record.clock.advance(10)
+        assert 0 < record.follower.followed_ms < record.clock.now_ms
         assert len(record.regained_ms) == 1
         assert 0 < record.regained_ms[0] <= record.clock.now_ms - before_ms
 
@@ -210,6 +213,7 @@
         calls = record.store.follows
         await _follow_as_other(record, [])
         assert record.store.follows <= calls + 1
+        assert record.follower.followed_ms == 0
 
     anyio.run(scenario)
 
@@ -232,6 +236,28 @@
     anyio.run(scenario)
 
 
+def test_rows_of_a_peer_start_no_grace() -> None:
+    """Guards against removed targets that a refused host keeps for good.
+
+    Each reading of a peer would start the time for which they are kept anew.
+    """
+
+    async def scenario() -> None:
+        record = _Record()
+        await record.run_for()
+        record.store.is_down = True
+        await record.run_for()
+        for version in (5, 6):
+            row = stores.StoredRow('b', b'', version, True)
+            record.peer_rows = row_share.SharedRows((row,), version, False, 0)
+            await _follow_as_other(record, [version])
+        assert record.changes == [('b', True), ('b', True)]
+        assert record.regained_ms == []
+        assert record.peer_grace_ms == [0, 0]
+
+    anyio.run(scenario)
+
+
 def test_host_asks_the_store_when_its_peers_fail() -> None:
     """Guards against a change that is known of and never read."""
 
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -9,7 +9,18 @@
 from wigeonhatch.peers import state_link
 
 STATE = state_link.HostState(
-    'h2', 10, 1, 'a1', 'a', '10.0.0.2:80', True, True, 3, {'op': 9}, {'t1': 2}
+    'h2',
+    10,
+    1,
+    'a1',
+    'a',
+    '10.0.0.2:80',
+    True,
+    True,
+    0,
+    3,
+    {'op': 9},
+    {'t1': 2},
 )
 
 
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -51,6 +51,7 @@
         self._clock = clock
         self._operator_keys: set[str] = set()
         self._grace_until_ms = 0
+        self._lost_ms = 0
         self._missing: set[str] = set()
 
     def on_operator_snapshot(self, rows: Rows) -> None:
@@ -83,7 +84,8 @@
         self._on_targets()
 
     def on_target_changes(self, rows: Rows) -> None:
-        """Take over changed rows of the targets' table."""
+        """Take over changed rows of the targets' table, in order."""
+        rows = list({row.key: row for row in rows}.values())
         removed = {row.key for row in rows if row.is_deleted}
         changed = [row for row in rows if not row.is_deleted]
         records = list(self._read_targets(changed))
@@ -104,8 +106,25 @@
             outage_ms: Time for which the store did not answer in ms.
         """
         if outage_ms > MIN_OUTAGE_MS:
+            self._lost_ms = self._clock.now_ms - outage_ms
             self._grace_until_ms = self._clock.now_ms + RETURN_GRACE_MS
 
+    def on_peer_followed(self, followed_ms: int) -> None:
+        """End the grace if the store was not down but only out of reach.
+
+        Entries lapse because targets do not reach the store. While a peer
+        followed it all the time, those that are missing have left.
+
+        Args:
+            followed_ms: Time for which a peer has followed the store without
+                a failed call in ms.
+        """
+        now_ms = self._clock.now_ms
+        if self._is_in_grace() and now_ms - followed_ms <= self._lost_ms:
+            log.event(_LOG, 'store was up', peer_followed_ms=followed_ms)
+            self._grace_until_ms = now_ms
+            self.drop_missing()
+
     @property
     def grace_left_ms(self) -> int:
         """Time for which missing targets are kept in ms."""
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -30,6 +30,7 @@
 from wigeonhatch.entry import table_follower
 from wigeonhatch.metrics import collector
 from wigeonhatch.peers import row_share
+from wigeonhatch.peers import state_link
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
@@ -96,12 +97,13 @@
             self._loads,
             lambda: self.is_serving,
             self._reaches_store,
+            self._followed_ms,
             lambda: self._config_version,
             lambda: {
                 name: follower.rows.changed_version
                 for name, follower in self._follower_by_table.items()
             },
-            self._on_peer_changes,
+            self._on_peer,
             clock,
         )
         self._warmups = warmup.WarmupBudget(
@@ -234,6 +236,12 @@
             for follower in self._follower_by_table.values()
         )
 
+    def _followed_ms(self) -> int:
+        return min(
+            follower.followed_ms
+            for follower in self._follower_by_table.values()
+        )
+
     def _read_rows(
         self, table: str, after: int
     ) -> row_share.SharedRows | None:
@@ -242,11 +250,12 @@
             return None
         return follower.rows.share(after, self._catalog.grace_left_ms)
 
-    def _on_peer_changes(self, changed_by_table: dict[str, int]) -> None:
-        for table, version in changed_by_table.items():
+    def _on_peer(self, state: state_link.HostState) -> None:
+        for table, version in state.changed_by_table.items():
             follower = self._follower_by_table.get(table)
             if follower is not None:
                 follower.on_peer_version(version)
+        self._catalog.on_peer_followed(state.followed_ms)
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -38,9 +38,10 @@
         load_table: Requests in progress.
         is_serving: Tells whether callers may be sent to this host.
         reaches_store: Tells whether the last calls to the store were answered.
+        followed_ms: Time for which this host has followed the store in ms.
         config_version: Version of the routing configuration in force.
         changed_by_table: Newest change that this host has seen, by table.
-        on_peer_changes: Called with the same of each peer.
+        on_peer: Called with the state of a peer that was taken over.
         clock: Clock of the host.
     """
 
@@ -51,9 +52,10 @@
         load_table: loads.LoadTable,
         is_serving: collections.abc.Callable[[], bool],
         reaches_store: collections.abc.Callable[[], bool],
+        followed_ms: collections.abc.Callable[[], int],
         config_version: collections.abc.Callable[[], int],
         changed_by_table: collections.abc.Callable[[], dict[str, int]],
-        on_peer_changes: collections.abc.Callable[[dict[str, int]], None],
+        on_peer: collections.abc.Callable[[state_link.HostState], None],
         clock: clocks.Clock,
     ) -> None:
         self.peers = state_link.PeerTable(clock)
@@ -67,9 +69,10 @@
         self._loads = load_table
         self._is_serving = is_serving
         self._reaches_store = reaches_store
+        self._followed_ms = followed_ms
         self._config_version = config_version
         self._changed_by_table = changed_by_table
-        self._on_peer_changes = on_peer_changes
+        self._on_peer = on_peer
         self._clock = clock
         self._incarnation = clock.wall_ms
         self._sequence = 0
@@ -250,7 +253,7 @@
         ip, _ = settings_module.parse_address(state.caller_address)
         self.roster.learn(state.host, ip)
         self._loads.on_report(state.host, state.count_by_target)
-        self._on_peer_changes(state.changed_by_table)
+        self._on_peer(state)
 
     def _send(self, hosts: collections.abc.Iterable[str]) -> None:
         self._sequence += 1
@@ -269,6 +272,7 @@
             self._settings.caller_address,
             self._is_serving(),
             self._reaches_store(),
+            self._followed_ms(),
             self._config_version(),
             self._changed_by_table(),
             counts,
--- a/wigeonhatch/entry/row_cache.py
+++ b/wigeonhatch/entry/row_cache.py
@@ -29,11 +29,17 @@
     def replace(self, rows: Rows, version: int) -> None:
         """Take over all rows.
 
+        A row that is gone counts as a change at `version`, since nothing tells
+        when it was deleted; peers that still have it would not ask otherwise.
+
         Args:
             rows: All rows of the table.
             version: Change of the store up to which they hold.
         """
-        self._row_by_key = {row.key: row for row in rows}
+        row_by_key = {row.key: row for row in rows}
+        if self._row_by_key.keys() - row_by_key.keys():
+            self.changed_version = max(self.changed_version, version)
+        self._row_by_key = row_by_key
         self._changes.clear()
         self._complete_after = version
         self._note(rows, version)
@@ -68,13 +74,13 @@
         if self.version is None:
             raise ValueError('the table has not been read')
         is_whole = after < self._complete_after
-        rows: collections.abc.Iterable[stores.StoredRow] = (
-            self._row_by_key.values()
-        )
+        row_by_key = self._row_by_key
         if not is_whole:
-            rows = (row for row in self._changes if row.version > after)
+            row_by_key = {
+                row.key: row for row in self._changes if row.version > after
+            }
         return row_share.SharedRows(
-            tuple(rows), self.version, is_whole, grace_left_ms
+            tuple(row_by_key.values()), self.version, is_whole, grace_left_ms
         )
 
     def _note(self, rows: Rows, version: int) -> None:
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -102,6 +102,7 @@
         self._lost_ms = 0
         self._nudged_ms = clock.now_ms
         self._called_ms: int | None = None
+        self._followed_since_ms: int | None = None
         self._call: anyio.CancelScope | None = None
         self._news = anyio.Event()
         self._news_version = 0
@@ -114,6 +115,12 @@
             else:
                 await self._follow_peers()
 
+    @property
+    def followed_ms(self) -> int:
+        """Time for which this host has followed the store itself in ms."""
+        since_ms = self._followed_since_ms
+        return 0 if since_ms is None else self._clock.now_ms - since_ms
+
     def on_peer_version(self, changed_version: int) -> None:
         """Ask the peers at once if one has seen a newer change.
 
@@ -162,6 +169,7 @@
 
     async def _follow_peers(self) -> None:
         """Wait until a peer has seen a newer change, and take it over."""
+        self._followed_since_ms = None
         with anyio.move_on_after(ROLE_MS / 1_000):
             await self._news.wait()
         if not self._news.is_set():
@@ -227,8 +235,7 @@
             rows=len(found.rows),
             whole=found.is_whole,
         )
-        if not self.is_connected and known.version is not None:
-            self._on_regained(self._clock.now_ms - self._lost_ms)
+        # The peer has followed the store and knows whether rows may be back.
         self._on_peer_grace(found.grace_left_ms)
         if found.is_whole:
             self._replace(found.rows, found.version)
@@ -269,6 +276,8 @@
                 self._on_regained(outage_ms)
         self.is_connected = True
         self.last_answer_ms = now_ms
+        if self._followed_since_ms is None:
+            self._followed_since_ms = now_ms
         self._failures = 0
 
     def _note_lost(self, reason: str, since_ms: int) -> None:
@@ -282,3 +291,4 @@
                 reason=reason,
             )
         self.is_connected = False
+        self._followed_since_ms = None
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -40,6 +40,8 @@
         caller_address: `IP:PORT` of the callers' interface.
         is_serving: Whether callers may be sent to it.
         reaches_store: Whether its last call to the store was answered.
+        followed_ms: Time for which it has followed the store without a failed
+            call in ms; 0 for hosts that learn from peers.
         config_version: Version of the routing configuration in force.
         changed_by_table: Newest change that it has seen, by table of the
             platform's store.
@@ -54,6 +56,7 @@
     caller_address: str
     is_serving: bool
     reaches_store: bool
+    followed_ms: int
     config_version: int
     changed_by_table: dict[str, int]
     count_by_target: dict[str, int]
