Play the soak with two hosts in a failure domain

Cause: with four hosts in four domains each host followed the store itself, and the soak missed two faults of hosts that read from peers.

--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -85,7 +85,7 @@
 async def play(
     seed: int,
     folder: pathlib.Path,
-    hosts: int = 4,
+    hosts: int = 8,
     seconds: float = 12.0,
     crowd: int = 6,
     targets_per_service: int = 4,
@@ -153,7 +153,7 @@
 def main(
     seed: int,
     count: int = 1,
-    hosts: int = 4,
+    hosts: int = 8,
     seconds: float = 20.0,
     crowd: int = 6,
     targets_per_service: int = 4,
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -16,6 +16,6 @@
 @pytest.mark.parametrize('seed', SEEDS)
 def test_promises_hold(tmp_path: pathlib.Path, seed: int) -> None:
     """Guards against promises that break under faults from outside."""
-    result = asyncio.run(run.play(seed, tmp_path, hosts=4, seconds=8.0))
+    result = asyncio.run(run.play(seed, tmp_path, hosts=6, seconds=8.0))
     assert result.violations == []
     assert result.attempts > 0
