Name hosts with narrow links to few callers

Cause: lookups name all serving hosts of a region and callers choose among them at random.

A host learns how many requests its link can carry from their sizes and tells its peers the part of its processor that the link can feed. A lookup names it to that part of the callers, always the same ones.

The figures that hosts report of themselves are one record; the followers of the store moved to entry/store_view.py.

--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -48,15 +48,17 @@
             SETTINGS,
             typing.cast(typing.Any, None),
             self.loads,
-            lambda: self.is_serving,
-            lambda: self.reaches_store,
-            lambda: 0,
-            lambda: 3,
-            lambda: {'op': 4},
+            self.report,
             lambda state: self.peer_changes.append(state.changed_by_table),
             self.clock,
         )
 
+    def report(self) -> fleets.HostReport:
+        """What this host tells of itself."""
+        return fleets.HostReport(
+            self.is_serving, self.reaches_store, 0, 1.0, 3, {'op': 4}
+        )
+
     def hear(
         self,
         host: str,
@@ -64,6 +66,7 @@
         is_serving: bool = True,
         sequence: int = 1,
         reaches_store: bool = True,
+        weight: float = 1.0,
     ) -> None:
         """Receive the state of a peer."""
         ip = f'10.0.0.{host[1:]}'
@@ -77,6 +80,7 @@
             is_serving,
             reaches_store,
             0,
+            weight,
             3,
             {'op': 9},
             {'t1': 2},
@@ -92,13 +96,36 @@
     scene.hear('h3', 'b')
     scene.hear('h4', 'a', is_serving=False)
     find = scene.fleet.caller_addresses
-    assert set(find('a1', 'a')) == {'10.0.0.1:80', '10.0.0.2:80'}
-    assert find('b1', 'b') == ['10.0.0.3:80']
-    assert len(find('c1', 'c')) == 3
+    assert set(find('a', 'c1')) == {'10.0.0.1:80', '10.0.0.2:80'}
+    assert find('b', 'c1') == ['10.0.0.3:80']
+    assert len(find('c', 'c1')) == 3
     scene.clock.advance(state_link.SILENCE_MS + 1)
-    assert find('b1', 'b') == ['10.0.0.1:80']
+    assert find('b', 'c1') == ['10.0.0.1:80']
+    scene.is_serving = False
+    assert find('a', 'c1') == []
+
+
+def test_narrow_hosts_are_named_to_few_callers() -> None:
+    """Guards against hosts whose link is full while others are idle.
+
+    They are named to the same callers each time, and to all if nothing else
+    is left.
+    """
+    scene = _Scene()
+    scene.hear('h2', 'a', weight=0.25)
+    callers = [f'c{number}' for number in range(400)]
+    named = [
+        caller
+        for caller in callers
+        if '10.0.0.2:80' in scene.fleet.caller_addresses('a', caller)
+    ]
+    assert 60 <= len(named) <= 140
+    again = scene.fleet.caller_addresses('a', named[0])
+    assert set(again) == {'10.0.0.1:80', '10.0.0.2:80'}
     scene.is_serving = False
-    assert find('a1', 'a') == []
+    for caller in callers:
+        found = scene.fleet.caller_addresses('a', caller)
+        assert found == ['10.0.0.2:80']
 
 
 def test_states_bring_loads_addresses_and_changes() -> None:
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -18,6 +18,7 @@
     True,
     True,
     0,
+    1.0,
     3,
     {'op': 9},
     {'t1': 2},
--- a/wigeonhatch/entry/directory.py
+++ b/wigeonhatch/entry/directory.py
@@ -24,7 +24,7 @@
 
     Args:
         is_serving: Tells whether callers may be sent to this host.
-        find_addresses: Addresses of hosts for a failure domain and region.
+        find_addresses: Addresses of hosts for a region and a caller.
         ttl_ms: Time for which a lookup counts in ms.
         expose: Renders the metrics.
         read_rows: Rows of the store that this host gives to peers.
@@ -82,8 +82,14 @@
         if path != names.DIRECTORY_PATH:
             return 404, _TEXT, b''
         addresses = self._find_addresses(
-            query.get('zone', ''), query.get('region', '')
+            query.get('region', ''), _identify_caller(scope, query)
         )[:_MAX_ADDRESSES]
         if not addresses:
             return 503, _TEXT, b''
         return 200, _JSON, edge.encode_directory(addresses, self._ttl_ms)
+
+
+def _identify_caller(scope: _asgi.Scope, query: dict[str, str]) -> str:
+    """Identity that stays the same over the lookups of one caller."""
+    client = scope.get('client')
+    return f'{query.get("zone", "")} {client[0] if client else ""}'
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -13,10 +13,10 @@
 import anyio.abc
 
 from wigeonhatch import clock as clocks
-from wigeonhatch import codes
 from wigeonhatch import log
 from wigeonhatch import outcome
 from wigeonhatch.balance import ejection
+from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import region_split
@@ -27,11 +27,8 @@
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import http_server
 from wigeonhatch.entry import runner
-from wigeonhatch.entry import table_follower
+from wigeonhatch.entry import store_view
 from wigeonhatch.metrics import collector
-from wigeonhatch.peers import row_share
-from wigeonhatch.peers import state_link
-from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
 from wigeonhatch.requests import relay as relays
@@ -91,19 +88,16 @@
         self._targets = registry.TargetRegistry(clock)
         self._loads = loads.LoadTable(clock)
         self._ejections = ejection.EjectionTable(clock)
+        self._link_weight = host_weight.LinkWeight(
+            settings.link_mbps,
+            settings.processor_share * settings.processor_speed,
+        )
         self._fleet = fleets.Fleet(
             settings,
             self._store,
             self._loads,
-            lambda: self.is_serving,
-            self._reaches_store,
-            self._followed_ms,
-            lambda: self._config_version,
-            lambda: {
-                name: follower.rows.changed_version
-                for name, follower in self._follower_by_table.items()
-            },
-            self._on_peer,
+            self._report,
+            lambda state: self._store_view.on_peer(state),
             clock,
         )
         self._warmups = warmup.WarmupBudget(
@@ -129,7 +123,9 @@
             self._on_targets,
             clock,
         )
-        self._follower_by_table = self._build_followers()
+        self._store_view = store_view.StoreView(
+            self._store, self._catalog, self._fleet, clock, self._rng
+        )
         self._relay = relays.Relay(
             self._picker,
             self._loads,
@@ -168,7 +164,7 @@
             self._fleet.caller_addresses,
             min(DIRECTORY_TTL_MS, settings.bounds.directory_ttl_max),
             self._metrics.expose,
-            self._read_rows,
+            self._store_view.read_rows,
         )
         addresses = (
             settings.readiness_address,
@@ -185,8 +181,7 @@
             await self._fleet.open()
             for server in servers:
                 tasks.start_soon(server.serve)
-            for follower in self._follower_by_table.values():
-                tasks.start_soon(follower.run)
+            self._store_view.start(tasks)
             tasks.start_soon(self._fleet.join)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._adjust)
@@ -196,67 +191,18 @@
         self._fleet.close()
         log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
 
-    @property
-    def _config_version(self) -> int:
+    def _report(self) -> fleets.HostReport:
         config = self._routes.config
-        return 0 if config is None else config.version
-
-    def _build_followers(self) -> dict[str, table_follower.TableFollower]:
-        catalog = self._catalog
-        appliers_by_table = {
-            names.OPERATOR_TABLE: (
-                catalog.on_operator_snapshot,
-                catalog.on_operator_changes,
-            ),
-            names.TARGET_TABLE: (
-                catalog.on_target_snapshot,
-                catalog.on_target_changes,
-            ),
-        }
-        return {
-            table: table_follower.TableFollower(
-                self._store,
-                table,
-                on_snapshot,
-                on_changes,
-                catalog.on_store_regained,
-                catalog.keep_missing,
-                lambda: self._fleet.is_reader,
-                self._fleet.count_domains,
-                self._fleet.ask_peer,
-                self._clock,
-                self._rng,
-            )
-            for table, (on_snapshot, on_changes) in appliers_by_table.items()
-        }
-
-    def _reaches_store(self) -> bool:
-        return not self._is_stopping and all(
-            follower.is_connected
-            for follower in self._follower_by_table.values()
+        view = self._store_view
+        return fleets.HostReport(
+            is_serving=self.is_serving,
+            reaches_store=view.is_reached and not self._is_stopping,
+            followed_ms=view.followed_ms,
+            weight=self._link_weight.weight,
+            config_version=0 if config is None else config.version,
+            changed_by_table=view.changed_by_table,
         )
 
-    def _followed_ms(self) -> int:
-        return min(
-            follower.followed_ms
-            for follower in self._follower_by_table.values()
-        )
-
-    def _read_rows(
-        self, table: str, after: int
-    ) -> row_share.SharedRows | None:
-        follower = self._follower_by_table.get(table)
-        if follower is None or follower.rows.version is None:
-            return None
-        return follower.rows.share(after, self._catalog.grace_left_ms)
-
-    def _on_peer(self, state: state_link.HostState) -> None:
-        for table, version in state.changed_by_table.items():
-            follower = self._follower_by_table.get(table)
-            if follower is not None:
-                follower.on_peer_version(version)
-        self._catalog.on_peer_followed(state.followed_ms)
-
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -370,14 +316,13 @@
         record = self._targets.record_by_name.get(name)
         return '' if record is None else self._picker.region_of(record.domain)
 
-    def _on_finished(
-        self,
-        service: str,
-        region: str,
-        code: codes.ResultCode,
-        took_ms: int,
-    ) -> None:
-        self._metrics.on_request(service, region, code, took_ms * 1_000)
+    def _on_finished(self, result: edges.Finished) -> None:
+        self._metrics.on_request(
+            result.service, result.region, result.code, result.took_ms * 1_000
+        )
+        self._link_weight.on_request(
+            result.request_bytes, result.response_bytes
+        )
 
 
 def run_edge(
--- a/wigeonhatch/entry/edge_settings.py
+++ b/wigeonhatch/entry/edge_settings.py
@@ -17,6 +17,7 @@
 Duration = typing.Annotated[
     int, pydantic.BeforeValidator(durations.parse_duration_ms)
 ]
+NotNegative = typing.Annotated[float, pydantic.Field(ge=0)]
 Ratio = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
 
 
@@ -61,6 +62,9 @@
         metrics_port: TCP port of the metrics.
         store_address: `IP:PORT` of the platform's store.
         bounds: Agreed bounds.
+        link_mbps: Rate of the host's link in Mbit/s; 0 if not known.
+        processor_share: Part of a core that the host has.
+        processor_speed: Speed of that core, 1 for an ordinary one.
         log_level: Level of the `logging` library.
     """
 
@@ -78,6 +82,9 @@
     store_address: settings.Address
     bounds: Bounds
     seeds: list[settings.Address] = dataclasses.field(default_factory=list)
+    link_mbps: NotNegative = 0.0
+    processor_share: NotNegative = 1.0
+    processor_speed: NotNegative = 1.0
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     limits: settings.Limits = dataclasses.field(
         default_factory=settings.Limits
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
+import dataclasses
 import logging
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch import settings as settings_module
+from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.peers import readers
@@ -29,6 +32,27 @@
 _LOG = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostReport:
+    """What this host tells its peers of itself.
+
+    Args:
+        is_serving: Whether callers may be sent to it.
+        reaches_store: Whether its last calls to the store were answered.
+        followed_ms: Time for which it has followed the store itself in ms.
+        weight: Part of the callers that it takes beside a full host.
+        config_version: Version of the routing configuration in force.
+        changed_by_table: Newest change that it has seen, by table.
+    """
+
+    is_serving: bool
+    reaches_store: bool
+    followed_ms: int
+    weight: float
+    config_version: int
+    changed_by_table: dict[str, int]
+
+
 class Fleet:
     """Exchange states with all hosts.
 
@@ -36,11 +60,7 @@
         settings: Settings of this host.
         store: Client of the platform's store.
         load_table: Requests in progress.
-        is_serving: Tells whether callers may be sent to this host.
-        reaches_store: Tells whether the last calls to the store were answered.
-        followed_ms: Time for which this host has followed the store in ms.
-        config_version: Version of the routing configuration in force.
-        changed_by_table: Newest change that this host has seen, by table.
+        report: Tells what this host reports of itself.
         on_peer: Called with the state of a peer that was taken over.
         clock: Clock of the host.
     """
@@ -50,11 +70,7 @@
         settings: edge_settings.EdgeSettings,
         store: stores.StoreClient,
         load_table: loads.LoadTable,
-        is_serving: collections.abc.Callable[[], bool],
-        reaches_store: collections.abc.Callable[[], bool],
-        followed_ms: collections.abc.Callable[[], int],
-        config_version: collections.abc.Callable[[], int],
-        changed_by_table: collections.abc.Callable[[], dict[str, int]],
+        report: collections.abc.Callable[[], HostReport],
         on_peer: collections.abc.Callable[[state_link.HostState], None],
         clock: clocks.Clock,
     ) -> None:
@@ -67,11 +83,7 @@
         self.learn_seeds(settings.seeds)
         self._store = store
         self._loads = load_table
-        self._is_serving = is_serving
-        self._reaches_store = reaches_store
-        self._followed_ms = followed_ms
-        self._config_version = config_version
-        self._changed_by_table = changed_by_table
+        self._report = report
         self._on_peer = on_peer
         self._clock = clock
         self._incarnation = clock.wall_ms
@@ -145,7 +157,7 @@
             for state in self.peers.live()
             if state.domain == own.domain
         }
-        reaches_store_by_host[own.host] = self._reaches_store()
+        reaches_store_by_host[own.host] = self._report().reaches_store
         return readers.choose_reader(reaches_store_by_host) == own.host
 
     def count_domains(self) -> int:
@@ -224,28 +236,37 @@
             (self._settings.host, *(s.host for s in self.peers.live()))
         )
 
-    def caller_addresses(self, domain: str, region: str) -> list[str]:
+    def caller_addresses(self, region: str, caller: str) -> list[str]:
         """Choose the hosts that a caller may use.
 
+        Hosts of one region are about 1 ms apart, so that the failure domain
+        does not matter.
+
         Args:
-            domain: Failure domain of the caller.
             region: Region of the caller.
+            caller: Identity of the caller.
 
         Returns:
-            Addresses of the serving hosts of the region, or else of all.
+            Addresses of serving hosts of the region, or else of all regions.
         """
-        del domain  # Hosts of one region are about 1 ms apart.
-        serving = [
-            (state.region, state.caller_address)
-            for state in self.peers.live()
-            if state.is_serving
+        weights_by_region: dict[str, dict[str, float]] = (
+            collections.defaultdict(dict)
+        )
+        for state in self.peers.live():
+            if state.is_serving:
+                weights = weights_by_region[state.region]
+                weights[state.caller_address] = state.weight
+        report = self._report()
+        if report.is_serving:
+            own = self._settings
+            weights_by_region[own.region][own.caller_address] = report.weight
+        if region in weights_by_region:
+            return host_weight.select_hosts(weights_by_region[region], caller)
+        return [
+            address
+            for weights in weights_by_region.values()
+            for address in host_weight.select_hosts(weights, caller)
         ]
-        if self._is_serving():
-            serving.append(
-                (self._settings.region, self._settings.caller_address)
-            )
-        near = [address for place, address in serving if place == region]
-        return near or [address for _, address in serving]
 
     def _on_state(self, state: state_link.HostState) -> None:
         if not self.peers.on_state(state):
@@ -263,6 +284,7 @@
             counts = {
                 name: counts[name] for name in busiest[: state_link.MAX_COUNTS]
             }
+        report = self._report()
         state = state_link.HostState(
             self._settings.host,
             self._incarnation,
@@ -270,11 +292,12 @@
             self._settings.domain,
             self._settings.region,
             self._settings.caller_address,
-            self._is_serving(),
-            self._reaches_store(),
-            self._followed_ms(),
-            self._config_version(),
-            self._changed_by_table(),
+            report.is_serving,
+            report.reaches_store,
+            report.followed_ms,
+            report.weight,
+            report.config_version,
+            report.changed_by_table,
             counts,
         )
         # A seed may be listed under its name as well.
--- /dev/null
+++ b/wigeonhatch/entry/store_view.py
@@ -0,0 +1,117 @@
+"""The tables of the platform's store that a host keeps up with."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+
+import anyio.abc
+
+from wigeonhatch import clock as clocks
+from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.entry import table_follower
+from wigeonhatch.peers import row_share
+from wigeonhatch.peers import state_link
+from wigeonhatch.platform import names
+from wigeonhatch.platform import store as stores
+
+
+class StoreView:
+    """Followers of all tables.
+
+    Args:
+        store: Client of the store.
+        catalog: Takes over the rows.
+        fleet: Peers of this host.
+        clock: Clock of the host.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        store: stores.StoreClient,
+        catalog: catalogs.Catalog,
+        fleet: fleets.Fleet,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._catalog = catalog
+        appliers_by_table = {
+            names.OPERATOR_TABLE: (
+                catalog.on_operator_snapshot,
+                catalog.on_operator_changes,
+            ),
+            names.TARGET_TABLE: (
+                catalog.on_target_snapshot,
+                catalog.on_target_changes,
+            ),
+        }
+        self._follower_by_table = {
+            table: table_follower.TableFollower(
+                store,
+                table,
+                on_snapshot,
+                on_changes,
+                catalog.on_store_regained,
+                catalog.keep_missing,
+                lambda: fleet.is_reader,
+                fleet.count_domains,
+                fleet.ask_peer,
+                clock,
+                rng,
+            )
+            for table, (on_snapshot, on_changes) in appliers_by_table.items()
+        }
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Follow all tables until the tasks are cancelled."""
+        for follower in self._followers:
+            tasks.start_soon(follower.run)
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether the last call for each table was answered."""
+        return all(follower.is_connected for follower in self._followers)
+
+    @property
+    def followed_ms(self) -> int:
+        """Time for which this host has followed all tables itself in ms."""
+        return min(follower.followed_ms for follower in self._followers)
+
+    @property
+    def changed_by_table(self) -> dict[str, int]:
+        """Newest change that this host has seen, by table."""
+        return {
+            table: follower.rows.changed_version
+            for table, follower in self._follower_by_table.items()
+        }
+
+    def read_rows(self, table: str, after: int) -> row_share.SharedRows | None:
+        """Select what a peer has to learn of a table.
+
+        Args:
+            table: Name of the table.
+            after: Change of the store up to which the peer knows it.
+
+        Returns:
+            The rows; None if this host has not read the table.
+        """
+        follower = self._follower_by_table.get(table)
+        if follower is None or follower.rows.version is None:
+            return None
+        return follower.rows.share(after, self._catalog.grace_left_ms)
+
+    def on_peer(self, state: state_link.HostState) -> None:
+        """Compare the state of a peer with what this host has seen."""
+        for table, version in state.changed_by_table.items():
+            follower = self._follower_by_table.get(table)
+            if follower is not None:
+                follower.on_peer_version(version)
+        self._catalog.on_peer_followed(state.followed_ms)
+
+    @property
+    def _followers(
+        self,
+    ) -> collections.abc.Iterable[table_follower.TableFollower]:
+        return self._follower_by_table.values()
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -42,6 +42,7 @@
         reaches_store: Whether its last call to the store was answered.
         followed_ms: Time for which it has followed the store without a failed
             call in ms; 0 for hosts that learn from peers.
+        weight: Part of the callers that it takes beside a full host.
         config_version: Version of the routing configuration in force.
         changed_by_table: Newest change that it has seen, by table of the
             platform's store.
@@ -57,6 +58,7 @@
     is_serving: bool
     reaches_store: bool
     followed_ms: int
+    weight: float
     config_version: int
     changed_by_table: dict[str, int]
     count_by_target: dict[str, int]
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import logging
+import sys
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
@@ -31,8 +33,29 @@
 _CLOSE = (b'connection', b'close')
 _CLIENT_ERRORS = range(400, 500)
 
-OnFinished = collections.abc.Callable[[str, str, codes.ResultCode, int], None]
-"""Service, region that served it, result and time in ms."""
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """End of one request.
+
+    Args:
+        service: Service that it was for; empty if no route was found.
+        region: Region that served it; empty if none did.
+        code: Result.
+        took_ms: Time from its head to its response in ms.
+        request_bytes: Bytes of its body as declared.
+        response_bytes: Bytes of the response's body.
+    """
+
+    service: str
+    region: str
+    code: codes.ResultCode
+    took_ms: int
+    request_bytes: int = 0
+    response_bytes: int = 0
+
+
+OnFinished = collections.abc.Callable[[Finished], None]
 
 
 class EdgeApplication:
@@ -104,7 +127,13 @@
             )
         if control.cause is not codes.ResultCode.CALLER_GONE:
             await self._answer(reply, request, result)
-        self._report(request, result, received_ms)
+        length = _fields.parse_length(by_name, sys.maxsize)
+        self._report(
+            request,
+            result,
+            received_ms,
+            length if isinstance(length, int) else 0,
+        )
 
     async def _receive_and_run(
         self,
@@ -222,6 +251,7 @@
         request: relay_model.RelayRequest | outcome.Failure,
         result: relay_model.Relayed | relay_model.Refused,
         received_ms: int,
+        request_bytes: int,
     ) -> None:
         took_ms = self._clock.now_ms - received_ms
         service = region = request_id = route = ''
@@ -230,10 +260,19 @@
             request_id = request.id_text
         if isinstance(result, relay_model.Relayed):
             region = self._region_of(result.target)
-            self._on_finished(service, region, codes.ResultCode.OK, took_ms)
+            self._on_finished(
+                Finished(
+                    service,
+                    region,
+                    codes.ResultCode.OK,
+                    took_ms,
+                    max(0, request_bytes),
+                    len(result.body),
+                )
+            )
             return
         failure = result.failure
-        self._on_finished(service, region, failure.code, took_ms)
+        self._on_finished(Finished(service, region, failure.code, took_ms))
         config = self._routes.config
         log.event(
             _LOG,
