--- a/wigeonhatch/cli/commands.py
+++ b/wigeonhatch/cli/commands.py
@@ -15,6 +15,7 @@
 from wigeonhatch.cli import _arguments
 from wigeonhatch.cli import access
 from wigeonhatch.cli import client as clients
+from wigeonhatch.cli import confirmation
 from wigeonhatch.cli import daemons
 from wigeonhatch.cli import render
 from wigeonhatch.cli import reports
@@ -27,7 +28,6 @@
 from wigeonhatch.operators import wire
 
 DEFAULT_WAIT_MS = 10_000
-_POLL_WAIT_MS = 500
 _MAX_WAIT_MS = 3_600_000
 _ValueT = typing.TypeVar('_ValueT')
 
@@ -328,12 +328,14 @@
 
     async def run(
         client: clients.OperatorClient,
-    ) -> outcome.Success[_Changed] | outcome.Failure:
+    ) -> outcome.Success[confirmation.Changed] | outcome.Failure:
         accepted = await client.write(path, make_body)
         if isinstance(accepted, outcome.Failure):
             return accepted
-        confirmed = await _confirm(client, accepted.value.version, limit_ms)
-        return outcome.Success(_Changed(accepted.value, confirmed))
+        confirmed = await confirmation.wait(
+            client, accepted.value.version, limit_ms
+        )
+        return outcome.Success(confirmation.Changed(accepted.value, confirmed))
 
     done = _ask(hosts, settings, run)
     if isinstance(done, outcome.Failure):
@@ -345,7 +347,7 @@
         lines[0] += f', change {accepted.change_id}'
     code = codes.ResultCode.OK
     if isinstance(confirmed, services.Confirmation):
-        lines.extend(_confirmation_lines(confirmed))
+        lines.extend(confirmation.describe(confirmed))
         if confirmed.waiting or not confirmed.confirmed:
             code = codes.ResultCode.NOT_CONFIRMED
     elif isinstance(confirmed, outcome.Failure):
@@ -364,61 +366,6 @@
     return reports.finish(json, value, lines, code)
 
 
-class _Changed(typing.NamedTuple):
-    accepted: services.Accepted
-    confirmed: services.Confirmation | outcome.Failure | None
-
-
-async def _confirm(
-    client: clients.OperatorClient, version: int, limit_ms: int
-) -> services.Confirmation | outcome.Failure | None:
-    """Poll until all reachable hosts have a version; show the progress."""
-    if not limit_ms:
-        return None
-    clock = clocks.Clock()
-    deadline_ms = clock.now_ms + limit_ms
-    while True:
-        found = await client.read(
-            wire.CONFIRMATION_PATH,
-            services.Confirmation,
-            version=version,
-            wait_ms=min(_POLL_WAIT_MS, max(0, deadline_ms - clock.now_ms)),
-        )
-        if isinstance(found, outcome.Success):
-            state = found.value
-            _show_progress(state)
-            if state.confirmed and not state.waiting:
-                return state
-        if clock.now_ms >= deadline_ms:
-            if isinstance(found, outcome.Failure):
-                return found
-            return found.value
-        await clock.sleep_ms(_POLL_WAIT_MS // 5)
-
-
-def _show_progress(state: services.Confirmation) -> None:
-    if not sys.stderr.isatty():
-        return
-    total = len(state.confirmed) + len(state.waiting)
-    done = state.confirmed and not state.waiting
-    sys.stderr.write(
-        f'\r{len(state.confirmed)} of {total} reachable hosts have version '
-        f'{state.version}' + ('\n' if done else '')
-    )
-    sys.stderr.flush()
-
-
-def _confirmation_lines(
-    state: services.Confirmation,
-) -> collections.abc.Iterator[str]:
-    total = len(state.confirmed) + len(state.waiting)
-    yield f'in force on {len(state.confirmed)} of {total} reachable hosts'
-    if state.waiting:
-        yield f'not yet on: {", ".join(state.waiting)}'
-    if state.unreachable:
-        yield f'unreachable: {", ".join(state.unreachable)}'
-
-
 def _ask(
     hosts: str,
     settings: str,
