Add a command that explains a request from the logs of hosts

explain reads one log file for each host, orders the decisions on a request by the time at which they were taken, and adds to each the newest configuration, reach of the store, rows, evacuation, signal and state of the target, with their age. A start of the host ends what it knew.

--- /dev/null
+++ b/tests/story/test_request.py
@@ -0,0 +1,108 @@
+"""Tests of the story of one request."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+
+from wigeonhatch.cli import dispatch
+from wigeonhatch.story import reader
+from wigeonhatch.story import request
+
+H1 = [
+    {'time_ms': 1_000, 'message': 'started', 'host': 'h1', 'domain': 'a'},
+    {'time_ms': 1_100, 'message': 'configuration in force', 'version': 7},
+    {
+        'time_ms': 1_200,
+        'message': 'target ejected',
+        'target': 't1',
+        'reason': 'TARGET_LOST',
+    },
+    {
+        'time_ms': 2_500,
+        'message': 'attempt',
+        'request_id': 'r1',
+        'target': 't1',
+        'took_ms': 300,
+        'result': 'TARGET_TIMEOUT',
+    },
+    {'time_ms': 2_450, 'message': 'store lost', 'reason': 'ReadError'},
+    {
+        'time_ms': 2_510,
+        'message': 'request refused',
+        'request_id': 'r1',
+        'name': 'TARGET_TIMEOUT',
+    },
+]
+H2 = [
+    {'time_ms': 900, 'message': 'started', 'host': 'h2'},
+    {'time_ms': 950, 'message': 'attempt', 'request_id': 'r2', 'took_ms': 1},
+]
+
+
+@pytest.fixture
+def logs(tmp_path: pathlib.Path) -> list[str]:
+    """Log files of two hosts, one with a line that was cut."""
+    paths = []
+    for name, lines in (('one', H1), ('two', H2)):
+        path = tmp_path / f'{name}.log'
+        text = ''.join(json.dumps(line) + '\n' for line in lines)
+        path.write_text(text + ('{"time_ms": 3' if name == 'two' else ''))
+        paths.append(str(path))
+    return paths
+
+
+def test_decisions_come_with_what_the_host_knew(logs: list[str]) -> None:
+    """Guards against a cause that only shows in other lines of the log."""
+    found = reader.LogReader()
+    steps = request.trace_request('r1', found.read(logs))
+    assert [step.message for step in steps] == ['attempt', 'request refused']
+    assert {step.host for step in steps} == {'h1'}
+    attempt, refusal = steps
+    assert attempt.time_ms == 2_200
+    assert [(b.message, b.age_ms) for b in attempt.beliefs] == [
+        ('target ejected', 1_000),
+        ('configuration in force', 1_100),
+        ('started', 1_200),
+    ]
+    assert refusal.beliefs[0].message == 'store lost'
+    assert dict(found.unusable_by_path) == {logs[1]: 1}
+
+
+def test_start_ends_what_the_host_knew() -> None:
+    """Guards against a cause from before the last start of a host."""
+    lines = [
+        reader.LogLine(
+            100, 'h1', 'store lost', {'table': 'op', 'reason': 'x'}
+        ),
+        reader.LogLine(200, 'h1', reader.STARTED, {'host': 'h1'}),
+        reader.LogLine(300, 'h1', 'request refused', {'request_id': 'r1'}),
+    ]
+    (step,) = request.trace_request('r1', lines)
+    assert [belief.message for belief in step.beliefs] == [reader.STARTED]
+
+
+def test_command_shows_the_story(
+    logs: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against output that hides the target or the reason."""
+    assert dispatch.run(['explain', 'r1', *logs]) == 0
+    text = capsys.readouterr().out
+    assert '+0 ms h1: attempt: target=t1 took_ms=300' in text
+    assert 'target ejected, reason=TARGET_LOST, 1000 ms before' in text
+    assert '1 lines cannot be read' in text
+    assert dispatch.run(['explain', 'r1', *logs, '--json']) == 0
+    value = json.loads(capsys.readouterr().out)['value']
+    assert value['steps'][0]['inputs']['result'] == 'TARGET_TIMEOUT'
+
+
+def test_unknown_request_and_missing_file(
+    logs: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an empty answer that looks like a story."""
+    assert dispatch.run(['explain', 'r9', *logs]) == 0
+    assert 'no line has this id' in capsys.readouterr().out
+    assert dispatch.run(['explain', 'r1']) != 0
+    assert dispatch.run(['explain', 'r1', '/nonexistent']) != 0
--- a/wigeonhatch/cli/commands.py
+++ b/wigeonhatch/cli/commands.py
@@ -17,6 +17,7 @@
 from wigeonhatch.cli import client as clients
 from wigeonhatch.cli import confirmation
 from wigeonhatch.cli import daemons
+from wigeonhatch.cli import explain
 from wigeonhatch.cli import render
 from wigeonhatch.cli import reports
 from wigeonhatch.config import check as checks
@@ -282,6 +283,7 @@
     'undrain': undrain,
     'audit': audit,
     'codes': list_codes,
+    'explain': explain.explain,
     'entry': daemons.entry,
     'edge': daemons.edge,
 }
--- /dev/null
+++ b/wigeonhatch/story/__init__.py
@@ -0,0 +1,1 @@
+"""What the logs of hosts tell of one request."""
