--- a/benchmarks/block_map.py
+++ b/benchmarks/block_map.py
@@ -24,6 +24,7 @@
 from wigeonhatch.blocks import _flat_table
 from wigeonhatch.blocks import _prefix
 from wigeonhatch.blocks import _prefix_table
+from wigeonhatch.blocks import block_diff
 from wigeonhatch.blocks import block_map
 from wigeonhatch.steering import buckets
 
@@ -144,7 +145,7 @@
     """Build a map without going through text."""
     built = block_map.BlockMap(1)
     for at in range(SITES):
-        built._put_site(block_map.Site(f'site-{at}'))
+        built._put_site(block_diff.Site(f'site-{at}'))
     for version in (4, 6):
         appended = built._table(version).append(
             prefixes.keys_by_version[version],
@@ -171,7 +172,7 @@
     return best / len(arguments) * 1e6
 
 
-def draw_diff(prefixes: Prefixes, rng: random.Random) -> block_map.BlockDiff:
+def draw_diff(prefixes: Prefixes, rng: random.Random) -> block_diff.BlockDiff:
     """Draw a diff that removes, moves and adds prefixes in equal parts."""
     removed: list[str] = []
     assigned: list[tuple[str, str]] = []
@@ -189,7 +190,7 @@
         else:
             key = _draw_key(version, rng)
             assigned.append((_text(family, key), site))
-    return block_map.BlockDiff(1, 2, removed, assigned)
+    return block_diff.BlockDiff(1, 2, removed, assigned)
 
 
 def _longest_ms(slices: collections.abc.Iterator[object]) -> float:
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -23,6 +23,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.standins import caller as caller_module
 from wigeonhatch.standins import fleet as fleet_module
+from wigeonhatch.standins import load_tool
 from wigeonhatch.standins import target as target_module
 
 ADDED_MEDIAN_GOAL_MS = 3.0
@@ -128,7 +129,7 @@
         async with anyio.create_task_group() as tasks:
             if during is not None:
                 tasks.start_soon(act)
-            await caller_module.run_load(caller, plans, rate, seconds, seed)
+            await load_tool.run_load(caller, plans, rate, seconds, seed)
         return caller.finish()
 
     return typing.cast(caller_module.Report, _run(main))
@@ -145,7 +146,7 @@
     plan = caller_module.Plan(service)
 
     async def main() -> caller_module.Report:
-        return await caller_module.run_closed_loop(
+        return await load_tool.run_closed_loop(
             caller, plan, workers, seconds, seed
         )
 
@@ -382,16 +383,14 @@
     async def main() -> caller_module.Report:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                caller_module.run_closed_loop,
+                load_tool.run_closed_loop,
                 others,
                 plan,
                 slots + slots // 4,
                 6.0,
             )
             await anyio.sleep(4)
-            await caller_module.run_closed_loop(
-                surge, reserved_plan, workers, 1.0
-            )
+            await load_tool.run_closed_loop(surge, reserved_plan, workers, 1.0)
         return surge.finish()
 
     report = _run(main)
--- a/tests/blocks/test_block_map.py
+++ b/tests/blocks/test_block_map.py
@@ -11,9 +11,10 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.blocks import block_diff
 from wigeonhatch.blocks import block_map
 
-SITES = [block_map.Site(f'site-{at}', ('north',)) for at in range(5)]
+SITES = [block_diff.Site(f'site-{at}', ('north',)) for at in range(5)]
 
 
 def _network(rng: random.Random) -> str:
@@ -77,7 +78,7 @@
         assigned = {
             net: name for net, name in assigned.items() if net not in removed
         }
-        diff = block_map.BlockDiff(
+        diff = block_diff.BlockDiff(
             version, version + 1, removed, list(assigned.items()), SITES
         )
         for net in removed:
@@ -100,13 +101,13 @@
     nets = {'10.0.0.0/8': 'site-0'}
     for at in range(300):
         nets[_network(rng)] = SITES[at % 4].name
-    diff = block_map.BlockDiff(0, 1, [], list(nets.items()), SITES)
+    diff = block_diff.BlockDiff(0, 1, [], list(nets.items()), SITES)
     assert not any(blocks.apply_slices(diff))
     addresses = [address for _ in range(30) for address in _addresses(rng)]
     for version, (removed, assigned) in enumerate(
         (([], [('10.0.0.0/8', 'site-4')]), (['10.0.0.0/8'], [])), 1
     ):
-        diff = block_map.BlockDiff(version, version + 1, removed, assigned)
+        diff = block_diff.BlockDiff(version, version + 1, removed, assigned)
         before = {address: _expected(nets, address) for address in addresses}
         nets = {net: nets[net] for net in nets if net not in removed}
         nets |= dict(assigned)
@@ -133,7 +134,7 @@
     }
     names['10.0.0.0/8'] = 'site-4'
     blocks = block_map.BlockMap()
-    diff = block_map.BlockDiff(0, 1, [], list(names.items()), SITES)
+    diff = block_diff.BlockDiff(0, 1, [], list(names.items()), SITES)
     for failure in blocks.apply_slices(diff):
         assert failure is None
     loaded = anyio.run(block_map.load_block_map, blocks.encode())
@@ -149,14 +150,14 @@
 def test_damaged_objects_are_refused() -> None:
     """Guards against a map or diff that was cut or altered on its way."""
     blocks = block_map.BlockMap(3)
-    diff = block_map.BlockDiff(3, 4, [], [('10.0.0.0/8', 'a')], [SITES[0]])
-    for data in (blocks.encode(), block_map.encode_diff(diff)):
+    diff = block_diff.BlockDiff(3, 4, [], [('10.0.0.0/8', 'a')], [SITES[0]])
+    for data in (blocks.encode(), block_diff.encode_diff(diff)):
         for bad in (data[:-1], data[:30] + b'!' + data[31:], b''):
             loaded = anyio.run(block_map.load_block_map, bad)
             assert isinstance(loaded, outcome.Failure)
-            assert isinstance(block_map.decode_diff(bad), outcome.Failure)
-    encoded = block_map.encode_diff(diff)
-    assert block_map.decode_diff(encoded) == outcome.Success(diff)
+            assert isinstance(block_diff.decode_diff(bad), outcome.Failure)
+    encoded = block_diff.encode_diff(diff)
+    assert block_diff.decode_diff(encoded) == outcome.Success(diff)
 
 
 def test_faulty_diffs_change_nothing() -> None:
@@ -164,21 +165,21 @@
     blocks = block_map.BlockMap(3)
     good = ('10.0.0.0/8', 'site-0')
     for diff, code in (
-        (block_map.BlockDiff(2, 3, [], [good], SITES), 'CONFLICT'),
+        (block_diff.BlockDiff(2, 3, [], [good], SITES), 'CONFLICT'),
         (
-            block_map.BlockDiff(
+            block_diff.BlockDiff(
                 3, 4, [], [good, ('10.0.0.0/25', 'site-0')], SITES
             ),
             'CONFIG_INVALID',
         ),
         (
-            block_map.BlockDiff(
+            block_diff.BlockDiff(
                 3, 4, [], [good, ('10.0.0.0/9', 'nowhere')], SITES
             ),
             'CONFIG_INVALID',
         ),
         (
-            block_map.BlockDiff(3, 4, ['10.0.0.1/8'], [good], SITES),
+            block_diff.BlockDiff(3, 4, ['10.0.0.1/8'], [good], SITES),
             'CONFIG_INVALID',
         ),
     ):
--- a/tests/end_to_end/_fleets.py
+++ b/tests/end_to_end/_fleets.py
@@ -12,6 +12,7 @@
 
 from wigeonhatch.standins import caller as caller_module
 from wigeonhatch.standins import fleet as fleet_module
+from wigeonhatch.standins import load_tool
 
 SERVICES = ('reads', 'bookings')
 READS = caller_module.Plan('reads', 0.6)
@@ -128,9 +129,7 @@
         async with anyio.create_task_group() as tasks:
             if during is not None:
                 tasks.start_soon(_call_later, during, during_after_s)
-            await caller_module.run_load(
-                caller, list(plans), rate, seconds, seed
-            )
+            await load_tool.run_load(caller, list(plans), rate, seconds, seed)
         return caller.finish()
 
     return anyio.run(main, backend_options={'use_uvloop': True})
--- a/tests/steering/test_lookup.py
+++ b/tests/steering/test_lookup.py
@@ -12,6 +12,7 @@
 from tests.steering import test_routing
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.blocks import block_diff
 from wigeonhatch.blocks import block_map
 from wigeonhatch.steering import buckets
 from wigeonhatch.steering import lookup
@@ -157,8 +158,8 @@
     host, table = _build()
     table.block_map = block_map.BlockMap()
     client = _client(host, 'north')
-    near = block_map.Site('near', ('south', 'north', 'central'))
-    diff = block_map.BlockDiff(0, 1, [], [('10.0.0.0/8', 'near')], [near])
+    near = block_diff.Site('near', ('south', 'north', 'central'))
+    diff = block_diff.BlockDiff(0, 1, [], [('10.0.0.0/8', 'near')], [near])
     assert list(table.block_map.apply_slices(diff))[-1] is None
     regions = [item['region'] for item in _ask(table, client)['hosts']]
     assert regions[::2] == ['north', 'south', 'central']
--- /dev/null
+++ b/wigeonhatch/blocks/block_diff.py
@@ -0,0 +1,76 @@
+"""Changes from one version of a block map to another."""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+
+import msgspec
+import xxhash
+
+from wigeonhatch import outcome
+from wigeonhatch.blocks import _seal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """One site of clients.
+
+    Args:
+        name: Name of the site.
+        regions: Regions from the nearest to the farthest.
+    """
+
+    name: str
+    regions: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BlockDiff:
+    """Changes from one version of a block map to another.
+
+    Args:
+        base_version: Version that the changes apply to.
+        version: Version that they lead to.
+        removed: Prefixes to remove.
+        assigned: Prefixes to add or change, with the name of the site.
+        sites: Sites that are new or whose regions changed.
+    """
+
+    base_version: int
+    version: int
+    removed: list[str] = dataclasses.field(default_factory=list)
+    assigned: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    sites: list[Site] = dataclasses.field(default_factory=list)
+
+
+def encode_diff(diff: BlockDiff) -> bytes:
+    """Encode a diff with a digest.
+
+    Args:
+        diff: Changes.
+    """
+    return _seal.seal(
+        zlib.compress(msgspec.msgpack.encode(diff), _seal.COMPRESSION)
+    )
+
+
+def decode_diff(
+    data: bytes,
+) -> outcome.Success[BlockDiff] | outcome.Failure:
+    """Decode a diff and check its digest.
+
+    Args:
+        data: Result of `encode_diff`.
+
+    Returns:
+        The diff, or `CONFIG_INVALID`.
+    """
+    content = _seal.content_of(data)
+    if not _seal.is_sealed(data, xxhash.xxh3_128_digest(content)):
+        return _seal.invalid(_seal.DAMAGED)
+    try:
+        diff = msgspec.msgpack.decode(zlib.decompress(content), type=BlockDiff)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        return _seal.invalid(str(error))
+    return outcome.Success(diff)
--- a/wigeonhatch/blocks/block_map.py
+++ b/wigeonhatch/blocks/block_map.py
@@ -18,12 +18,11 @@
 from wigeonhatch.blocks import _flat_table
 from wigeonhatch.blocks import _prefix
 from wigeonhatch.blocks import _prefix_table
+from wigeonhatch.blocks import _seal
+from wigeonhatch.blocks import block_diff
 from wigeonhatch.steering import buckets
 
 _Item = typing.TypeVar('_Item')
-_MAGIC = b'WHBM0001'
-_DIGEST_BYTES = 16
-_DAMAGED = 'the object is no block map or its digest does not match'
 _SEGMENT_PREFIXES = 8_192
 _MAX_SITES = 65_535
 _CHECKS_PER_SLICE = 128
@@ -32,39 +31,6 @@
 _CHANGE_WORK = 16
 _SLICE_WORK = 768
 _HASH_BYTES = 1_000_000
-_COMPRESSION = 6
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Site:
-    """One site of clients.
-
-    Args:
-        name: Name of the site.
-        regions: Regions from the nearest to the farthest.
-    """
-
-    name: str
-    regions: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BlockDiff:
-    """Changes from one version of a block map to another.
-
-    Args:
-        base_version: Version that the changes apply to.
-        version: Version that they lead to.
-        removed: Prefixes to remove.
-        assigned: Prefixes to add or change, with the name of the site.
-        sites: Sites that are new or whose regions changed.
-    """
-
-    base_version: int
-    version: int
-    removed: list[str] = dataclasses.field(default_factory=list)
-    assigned: list[tuple[str, str]] = dataclasses.field(default_factory=list)
-    sites: list[Site] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +49,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Document:
     version: int
-    sites: list[Site]
+    sites: list[block_diff.Site]
     segments: list[_Segment]
 
 
@@ -96,7 +62,7 @@
 
     def __init__(self, version: int = 0) -> None:
         self.version = version
-        self._sites: list[Site] = []
+        self._sites: list[block_diff.Site] = []
         self._number_by_site: dict[str, int] = {}
         self._ipv4 = _flat_table.FlatTable()
         self._ipv6 = _prefix_table.PrefixTable(_prefix.IPV6)
@@ -107,11 +73,11 @@
         return len(self._ipv4) + len(self._ipv6)
 
     @property
-    def sites(self) -> tuple[Site, ...]:
+    def sites(self) -> tuple[block_diff.Site, ...]:
         """All sites."""
         return tuple(self._sites)
 
-    def site(self, address: str) -> Site | None:
+    def site(self, address: str) -> block_diff.Site | None:
         """Find the site of a client.
 
         Args:
@@ -124,7 +90,7 @@
         block = buckets.client_block(address)
         return None if block is None else self.site_of_block(block)
 
-    def site_of_block(self, block: bytes) -> Site | None:
+    def site_of_block(self, block: bytes) -> block_diff.Site | None:
         """Find the site of a client block.
 
         Args:
@@ -138,7 +104,7 @@
         return None if number < 0 else self._sites[number]
 
     async def apply(
-        self, diff: BlockDiff
+        self, diff: block_diff.BlockDiff
     ) -> outcome.Success[int] | outcome.Failure:
         """Apply changes in slices, and let other tasks run in between.
 
@@ -160,7 +126,7 @@
         return outcome.Success(self.version)
 
     def apply_slices(
-        self, diff: BlockDiff
+        self, diff: block_diff.BlockDiff
     ) -> collections.abc.Iterator[outcome.Failure | None]:
         """Apply changes, with a bounded amount of work between two items.
 
@@ -205,22 +171,22 @@
         document = _Document(
             self.version, list(self._sites), list(self._segments())
         )
-        return _seal(msgspec.msgpack.encode(document))
+        return _seal.seal(msgspec.msgpack.encode(document))
 
     def _check(
-        self, diff: BlockDiff, names: set[str]
+        self, diff: block_diff.BlockDiff, names: set[str]
     ) -> collections.abc.Iterator[outcome.Failure | None]:
         if len(names) > _MAX_SITES:
-            yield _invalid(f'{len(names)} sites exceed {_MAX_SITES}')
+            yield _seal.invalid(f'{len(names)} sites exceed {_MAX_SITES}')
         for text in diff.removed:
             yield _check_prefix(text)
         for text, name in diff.assigned:
             yield _check_prefix(text)
             if name not in names:
-                yield _invalid(f'site {name!r} of {text} does not exist')
+                yield _seal.invalid(f'site {name!r} of {text} does not exist')
 
     def _changes(
-        self, diff: BlockDiff
+        self, diff: block_diff.BlockDiff
     ) -> collections.abc.Iterator[tuple[_prefix_table.PrefixTable, int, int]]:
         pairs = itertools.chain(
             ((text, -1) for text in diff.removed),
@@ -238,7 +204,7 @@
     def _table(self, ip_version: int) -> _prefix_table.PrefixTable:
         return self._ipv4 if ip_version == 4 else self._ipv6
 
-    def _put_site(self, site: Site) -> None:
+    def _put_site(self, site: block_diff.Site) -> None:
         number = self._number_by_site.get(site.name)
         if number is None:
             self._number_by_site[site.name] = len(self._sites)
@@ -272,61 +238,19 @@
             )
             sites.frombytes(zlib.decompress(segment.sites))
         except (zlib.error, ValueError) as error:
-            yield _invalid(f'segment cannot be decoded: {error}')
+            yield _seal.invalid(f'segment cannot be decoded: {error}')
             return
         if len(keys) != len(sites) or not keys:
-            yield _invalid(f'{len(keys)} keys and {len(sites)} sites')
+            yield _seal.invalid(f'{len(keys)} keys and {len(sites)} sites')
             return
         if max(sites) >= len(self._sites):
-            yield _invalid(f'site number {max(sites)} does not exist')
+            yield _seal.invalid(f'site number {max(sites)} does not exist')
             return
         for is_sorted in table.append(keys, sites):
             if is_sorted:
                 yield None
             else:
-                yield _invalid('prefixes are not in ascending order')
-
-
-def _seal(content: bytes) -> bytes:
-    return _MAGIC + xxhash.xxh3_128_digest(content) + content
-
-
-def _content(data: bytes) -> memoryview:
-    return memoryview(data)[len(_MAGIC) + _DIGEST_BYTES :]
-
-
-def _is_sealed(data: bytes, digest: bytes) -> bool:
-    return data.startswith(_MAGIC + digest)
-
-
-def encode_diff(diff: BlockDiff) -> bytes:
-    """Encode a diff with a digest.
-
-    Args:
-        diff: Changes.
-    """
-    return _seal(zlib.compress(msgspec.msgpack.encode(diff), _COMPRESSION))
-
-
-def decode_diff(
-    data: bytes,
-) -> outcome.Success[BlockDiff] | outcome.Failure:
-    """Decode a diff and check its digest.
-
-    Args:
-        data: Result of `encode_diff`.
-
-    Returns:
-        The diff, or `CONFIG_INVALID`.
-    """
-    content = _content(data)
-    if not _is_sealed(data, xxhash.xxh3_128_digest(content)):
-        return _invalid(_DAMAGED)
-    try:
-        diff = msgspec.msgpack.decode(zlib.decompress(content), type=BlockDiff)
-    except (zlib.error, msgspec.MsgspecError) as error:
-        return _invalid(str(error))
-    return outcome.Success(diff)
+                yield _seal.invalid('prefixes are not in ascending order')
 
 
 async def load_block_map(
@@ -340,17 +264,17 @@
     Returns:
         The map, or `CONFIG_INVALID`.
     """
-    content = _content(data)
+    content = _seal.content_of(data)
     hasher = xxhash.xxh3_128()
     for start in range(0, len(content), _HASH_BYTES):
         hasher.update(content[start : start + _HASH_BYTES])
         await anyio.lowlevel.checkpoint()
-    if not _is_sealed(data, hasher.digest()):
-        return _invalid(_DAMAGED)
+    if not _seal.is_sealed(data, hasher.digest()):
+        return _seal.invalid(_seal.DAMAGED)
     try:
         document = msgspec.msgpack.decode(content, type=_Document)
     except msgspec.MsgspecError as error:
-        return _invalid(str(error))
+        return _seal.invalid(str(error))
     loaded = BlockMap(document.version)
     for site in document.sites:
         loaded._put_site(site)
@@ -371,8 +295,8 @@
     planes = b''.join(data[at :: keys.itemsize] for at in range(keys.itemsize))
     return _Segment(
         family.version,
-        memoryview(zlib.compress(planes, _COMPRESSION)),
-        memoryview(zlib.compress(sites.tobytes(), _COMPRESSION)),
+        memoryview(zlib.compress(planes, _seal.COMPRESSION)),
+        memoryview(zlib.compress(sites.tobytes(), _seal.COMPRESSION)),
     )
 
 
@@ -393,11 +317,5 @@
 
 def _check_prefix(text: str) -> outcome.Failure | None:
     if _prefix.parse_prefix(text) is None:
-        return _invalid(f'{text!r} is no prefix of a client block')
+        return _seal.invalid(f'{text!r} is no prefix of a client block')
     return None
-
-
-def _invalid(detail: str) -> outcome.Failure:
-    return outcome.Failure(
-        codes.ResultCode.CONFIG_INVALID, f'block map: {detail}'
-    )
--- a/wigeonhatch/standins/demo.py
+++ b/wigeonhatch/standins/demo.py
@@ -11,6 +11,7 @@
 
 from wigeonhatch.standins import caller as caller_module
 from wigeonhatch.standins import fleet as fleet_module
+from wigeonhatch.standins import load_tool
 
 PLANS_BY_EXAMPLE = {
     'caroni': [
@@ -61,9 +62,7 @@
         caller = caller_module.Caller(fleet.caller_addresses, seed)
 
         async def load() -> caller_module.Report:
-            return await caller_module.run_load(
-                caller, plans, rate, seconds, seed
-            )
+            return await load_tool.run_load(caller, plans, rate, seconds, seed)
 
         print(f'sending {rate:g} requests/s for {seconds:g} s')
         report = anyio.run(load, backend_options={'use_uvloop': True})
