Forget hosts that were replaced

Cause: with one reader in each failure domain, the other hosts read the list of hosts once and sent states to replaced hosts for good; the states of silent peers were kept for good on all hosts.

Hosts that do not follow the store read the list every 300 s; a peer that was silent for 600 s is forgotten.

--- a/tests/entry/fake_store.py
+++ b/tests/entry/fake_store.py
@@ -37,6 +37,10 @@
             tuple(map(_decode, self.rows.rows(table))), self.rows.version
         )
 
+    async def put_row(self, table: str, key: str, value: bytes) -> int:
+        """Write one row."""
+        return self.rows.put(table, key, value)
+
     async def follow(
         self, table: str, after: int, wait_ms: int
     ) -> stores.Snapshot | stores.HistoryGone | interface.Unavailable:
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from tests.entry import fake_store
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import loads
 from wigeonhatch.entry import edge_settings
@@ -15,6 +16,7 @@
 from wigeonhatch.peers import row_share
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
+from wigeonhatch.standins import row_store
 
 BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '5s')  # type: ignore
 SETTINGS = edge_settings.EdgeSettings(
@@ -185,3 +187,41 @@
     scene.clock.advance(state_link.SILENCE_MS + 1)
     assert scene.fleet.is_reader
     assert scene.fleet.count_domains() == 1
+
+
+def test_every_host_forgets_replaced_hosts() -> None:
+    """Guards against states that are sent to hosts that are long gone.
+
+    Hosts that do not follow the store read the list more rarely.
+    """
+
+    async def scenario() -> None:
+        scene = _Scene()
+        fleet = scene.fleet
+        started_ms = scene.clock.now_ms
+        store = fake_store.FakeStore(row_store.RowStore())
+        fleet._store = typing.cast(typing.Any, store)
+        fleet.roster.learn('gone', '10.0.0.9')
+        first = readers.choose_reader({'h1': True, 'h2': True})
+        scene.reaches_store = first != 'h1'
+        peers = anyio.Event()
+
+        async def stay_in_touch() -> None:
+            for sequence in range(1, 2_000):
+                scene.hear('h2', 'a', sequence=sequence)
+                peers.set()
+                await anyio.sleep(0)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stay_in_touch)
+            await peers.wait()
+            assert not fleet.is_reader
+            tasks.start_soon(fleet.join)
+            while store.lists < 3:
+                await anyio.sleep(0)
+            tasks.cancel_scope.cancel()
+        assert 'gone' not in fleet.roster.ip_by_host
+        assert 'h2' in fleet.roster.ip_by_host
+        assert scene.clock.now_ms - started_ms >= 2 * fleets._OTHERS_PAUSE_MS
+
+    anyio.run(scenario)
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -65,6 +65,19 @@
     assert table.live() == [restarted]
 
 
+def test_replaced_peer_is_forgotten() -> None:
+    """Guards against memory that grows with each host that is replaced."""
+    clock = clocks.ManualClock()
+    table = state_link.PeerTable(clock)
+    table.on_state(STATE)
+    clock.advance(state_link.SILENCE_MS + 1)
+    assert table.note_silence() == ['h2']
+    assert table.region_by_host() == {'h2': 'a'}
+    clock.advance(state_link.FORGET_MS)
+    assert table.note_silence() == []
+    assert table.region_by_host() == {}
+
+
 def test_malformed_datagrams_are_counted() -> None:
     """Guards against a datagram that ends the exchange."""
     seen: list[state_link.HostState] = []
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -27,6 +27,9 @@
 """Pause between readings of the list while no peer is known."""
 _LIST_PAUSE_MS = 15_000
 """Pause between readings by hosts that follow the store."""
+_OTHERS_PAUSE_MS = 300_000
+"""Pause between readings by the other hosts, which hear of new hosts and have
+only to forget those that were replaced."""
 _STOP_REPEATS = 3
 """Datagrams sent at once when the host stops, against their loss."""
 _LOG = logging.getLogger(__name__)
@@ -181,8 +184,14 @@
             elif not self.roster.ip_by_host:
                 pause_ms = _ALONE_PAUSE_MS
             await self._clock.sleep_ms(pause_ms)
-            while self.roster.ip_by_host and not self.is_reader:
+            waited_ms = pause_ms
+            while (
+                self.roster.ip_by_host
+                and not self.is_reader
+                and waited_ms < _OTHERS_PAUSE_MS
+            ):
                 await self._clock.sleep_ms(_LIST_PAUSE_MS)
+                waited_ms += _LIST_PAUSE_MS
 
     async def _read_list(self) -> bool:
         found = await self._store.list_rows(names.HOST_TABLE)
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -23,6 +23,8 @@
 """Intervals per datagram to another region, where delay is longer anyway."""
 SILENCE_MS = 1_500
 """Silence after which a host counts as gone; about four lost datagrams."""
+FORGET_MS = 600_000
+"""Silence after which nothing is kept of a host; 460 are replaced each day."""
 MAX_COUNTS = 100
 """Targets per datagram, so that it fits into one packet."""
 _LOG = logging.getLogger(__name__)
@@ -122,9 +124,16 @@
     def note_silence(self) -> list[str]:
         """Log peers that have fallen silent since the last call.
 
+        Peers that have been silent for long are forgotten.
+
         Returns:
-            Names of those peers.
+            Names of the peers that have just fallen silent.
         """
+        oldest_ms = self._clock.now_ms - FORGET_MS
+        for host, (heard_ms, _) in list(self._state_by_host.items()):
+            if heard_ms < oldest_ms:
+                del self._state_by_host[host]
+                self._silent.discard(host)
         live = {state.host for state in self.live()}
         lost = [
             host
