--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -186,7 +186,8 @@
             await self._clock.sleep_ms(pause_ms)
             waited_ms = pause_ms
             while (
-                self.roster.ip_by_host
+                is_read
+                and self.roster.ip_by_host
                 and not self.is_reader
                 and waited_ms < _OTHERS_PAUSE_MS
             ):
