--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -12,27 +12,24 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.requests import _attempt
+from wigeonhatch.requests import _passing
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import _search
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import forward_client
-from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import keys as key_tables
 from wigeonhatch.requests import model
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
-from wigeonhatch.targets import request as target_request
-from wigeonhatch.targets import response as target_response
 
 # Longest wait of a customer within its reservation for a slot, at each host.
 RESERVATION_WAIT_MS = 100
-
-Result = outcome.Success[None] | outcome.Failure
+Result = _passing.Result
 # Waits for a target end at the deadline; the rest ends this much later, so
 # that a target that does not respond is reported as such.
 _DEADLINE_GRACE_S = 0.05
-_SERVED = outcome.Success(None)
 _RESULT_BY_CODE = {
     codes.ResultCode.TARGET_CONNECT_FAILED: (
         dependencies.AttemptResult.CONNECT_FAILED
@@ -282,7 +279,7 @@
                     )
             cause = exchange.control.leave()
             if result is None:
-                result = _describe_cancel(cause, progress.may_have_run)
+                result = _attempt.describe_cancel(cause, progress.may_have_run)
         finally:
             if is_key_held and (
                 not progress.may_have_run
@@ -336,7 +333,9 @@
             self._detach(exchange)
             sent = await self._targets.send(
                 grant.target,
-                self._head(request, exchange.body),
+                _attempt.build_head(
+                    request, exchange.body, self._clock.now_ms
+                ),
                 exchange.body.outgoing(),
                 request.deadline_ms,
             )
@@ -352,7 +351,9 @@
                         codes.ResultCode.TARGET_SHED, grant.target
                     )
                 result = dependencies.AttemptResult.SERVED
-                passed = await _pass_on(response, exchange.reply, release)
+                passed = await _passing.pass_on(
+                    response, exchange.reply, release
+                )
                 if isinstance(passed, outcome.Failure):
                     result = _RESULT_BY_CODE.get(
                         passed.code, dependencies.AttemptResult.CANCELLED
@@ -397,59 +398,3 @@
     def _detach(self, exchange: Exchange) -> None:
         if not exchange.request.is_idempotent and exchange.body.is_small:
             exchange.control.is_detached = True
-
-    def _head(
-        self, request: model.CallerRequest, body: bodies.RequestBody
-    ) -> target_request.RequestHead:
-        remaining_ms = max(1, request.deadline_ms - self._clock.now_ms)
-        headers = [
-            *request.headers,
-            (fields.DEADLINE, b'%d' % remaining_ms),
-            (fields.REQUEST_ID, request.request_id.encode()),
-            (fields.CLIENT, request.client.encode()),
-        ]
-        if request.customer:
-            headers.append((fields.CUSTOMER, request.customer.encode()))
-        return target_request.RequestHead(
-            request.method, request.path, tuple(headers), body.length
-        )
-
-
-async def _pass_on(
-    response: target_response.TargetResponse,
-    reply: model.Reply,
-    release: collections.abc.Callable[[], None],
-) -> Result:
-    # The first part is read before the head is sent, so that a response that
-    # breaks off before it can still be replaced by a refusal.
-    part = await response.read()
-    if isinstance(part, outcome.Failure):
-        return part
-    if response.is_complete:
-        release()
-    failure = await reply.start(response.status, response.headers)
-    while part is not None and failure is None:
-        if response.is_complete:
-            failure = await reply.write(part, True)
-            return failure or _SERVED
-        failure = await reply.write(part, False)
-        following = await response.read()
-        if isinstance(following, outcome.Failure):
-            return following
-        if response.is_complete:
-            release()
-        part = following
-    if failure is None:
-        failure = await reply.write(b'', True)
-    return failure or _SERVED
-
-
-def _describe_cancel(
-    cause: codes.ResultCode | None, may_have_run: bool
-) -> outcome.Failure:
-    ran = codes.Ran.UNKNOWN if may_have_run else codes.Ran.NOT_RUN
-    if cause is not None:
-        return outcome.Failure(cause, ran_override=ran)
-    if may_have_run:
-        return outcome.Failure(codes.ResultCode.DEADLINE_EXCEEDED_RUNNING)
-    return outcome.Failure(codes.ResultCode.DEADLINE_EXCEEDED)
--- a/wigeonhatch/requests/forward_client.py
+++ b/wigeonhatch/requests/forward_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 import dataclasses
 import logging
@@ -17,6 +16,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.peers import peers_pb2
+from wigeonhatch.requests import _forward_parts
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import headers as fields
@@ -25,12 +25,8 @@
 
 LOG = logging.getLogger(__name__)
 
-# Messages stay well below the flow control window of a stream.
-PART_BYTES = 65_536
 # A small request waits this long for the link before the next route is used.
 LINK_WAIT_MS = 100
-# Head of a request or response with its framing, without header fields.
-_HEAD_BYTES = 200
 
 Result = outcome.Success[None] | outcome.Failure
 PEER_ERRORS = (
@@ -61,42 +57,6 @@
     wait_ms: int = 0
 
 
-def head_bytes(headers: fields.HeaderTuple) -> int:
-    """Estimate the bytes of a head on the link.
-
-    Args:
-        headers: Header fields.
-    """
-    return _HEAD_BYTES + sum(len(n) + len(v) + 4 for n, v in headers)
-
-
-def split_part(part: bytes) -> collections.abc.Iterator[bytes]:
-    """Split a part into messages.
-
-    Args:
-        part: Bytes of a body.
-
-    Yields:
-        Slices of at most `PART_BYTES`.
-    """
-    if len(part) <= PART_BYTES:
-        yield part
-        return
-    for start in range(0, len(part), PART_BYTES):
-        yield part[start : start + PART_BYTES]
-
-
-def uncancel() -> None:
-    """Forget the cancellation by which grpclib wakes up its waiting tasks.
-
-    grpclib replaces the cancellation by an exception, but leaves the task
-    marked as cancelled, which later cancel scopes would take for their own.
-    """
-    task = asyncio.current_task()
-    while task is not None and task.cancelling() > 0:
-        task.uncancel()
-
-
 class ForwardClient:
     """Send requests to other hosts over the peer service.
 
@@ -152,7 +112,7 @@
             return _unreachable(destination.host)
         has_tokens = await self.take_tokens(
             region,
-            head_bytes(request.headers) + len(body.content),
+            _forward_parts.head_bytes(request.headers) + len(body.content),
             body.is_bulk,
             min(LINK_WAIT_MS, self.remaining_ms(request)),
         )
@@ -168,7 +128,7 @@
                     # Leaving the stream would wait for its end.
                     await stream.cancel()
         except PEER_ERRORS as error:
-            uncancel()
+            _forward_parts.uncancel()
             if call.result is None:
                 call.result = call.lost(str(error))
         return call.result or call.lost('no end marker')
@@ -330,14 +290,14 @@
                 self.result = await self._receive(stream, start)
             except PEER_ERRORS as error:
                 # Raised here, it would leave the group wrapped in another.
-                uncancel()
+                _forward_parts.uncancel()
                 self.result = self.lost(str(error))
             tasks.cancel_scope.cancel()
 
     async def _send_body(self, stream: typing.Any) -> outcome.Failure | None:
         try:
             async for part in self._body.parts():
-                for piece in split_part(part):
+                for piece in _forward_parts.split_part(part):
                     if not await self._client.take_tokens(
                         self._region,
                         len(piece),
@@ -361,7 +321,7 @@
             )
         except PEER_ERRORS:
             # The receiving side of the call reports the loss.
-            uncancel()
+            _forward_parts.uncancel()
         return None
 
     async def _receive(
@@ -402,7 +362,7 @@
     ) -> Result:
         self._progress.has_verdict = True
         if end.code != codes.ResultCode.OK:
-            return read_end(end)
+            return _forward_parts.read_end(end)
         if not self._reply.is_started or (0 <= length != count):
             LOG.error(
                 'INVARIANT_VIOLATED: %s forwarded %d of %d bytes',
@@ -415,26 +375,6 @@
         return failure or outcome.Success(None)
 
 
-def read_end(end: peers_pb2.ForwardEnd) -> outcome.Failure:
-    """Read the failure of an end marker.
-
-    Args:
-        end: End marker with a code other than `OK`.
-
-    Returns:
-        The failure; "unknown" whether the request ran if that is not said.
-    """
-    try:
-        code = codes.ResultCode(end.code)
-    except ValueError:
-        code = codes.ResultCode.INTERNAL
-    try:
-        ran = codes.Ran(end.ran)
-    except ValueError:
-        ran = codes.Ran.UNKNOWN
-    return outcome.Failure(code, end.detail, ran)
-
-
 def _ignore() -> None:
     pass
 
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -11,6 +11,7 @@
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.peers import peers_pb2
+from wigeonhatch.requests import _forward_parts
 from wigeonhatch.requests import attempts
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import dependencies
@@ -182,7 +183,7 @@
         self._is_bulk = (
             length is not None and int(length) > bodies.BULK_BODY_BYTES
         )
-        if not await self._take(forward_client.head_bytes(headers)):
+        if not await self._take(_forward_parts.head_bytes(headers)):
             return self._link_full()
         self.is_started = True
         head = peers_pb2.ForwardReplyHead(
@@ -197,7 +198,7 @@
     async def write(
         self, part: bytes, is_last: bool
     ) -> outcome.Failure | None:
-        for piece in forward_client.split_part(part):
+        for piece in _forward_parts.split_part(part):
             if not piece:
                 continue
             self._count += len(piece)
