Send one report of a host, and read the length of a body once

Cause: a second reading of the whole change. The states of hosts repeated the six fields of the report that a host makes of itself and were filled field by field; the report is a part of the state now. Each request's declared length was read a second time after its end, on the path of every request. In the tests of the soak's ledger a good answer stood twice; the soak named the store by a literal beside its constant and asked twice whether a daemon had been killed.

The tests keep their assertions; their states are built with the report.

Left: requests/edge.py and requests/application.py count requests in progress alike; HostReport.config_version is sent and shown nowhere.

--- a/benchmarks/edge_control.py
+++ b/benchmarks/edge_control.py
@@ -46,12 +46,9 @@
         'north-a',
         'north',
         '10.1.0.34:8548',
-        True,
-        True,
-        30_000,
-        1.0,
-        12,
-        {'op': 1_000, 'servers': 1_001},
+        state_link.HostReport(
+            True, True, 30_000, 1.0, 12, {'op': 1_000, 'servers': 1_001}
+        ),
         {f'i-{number:010x}': 3 for number in range(busy)},
     )
     data = msgspec.msgpack.encode(state)
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -51,13 +51,15 @@
             typing.cast(typing.Any, None),
             self.loads,
             self.report,
-            lambda state: self.peer_changes.append(state.changed_by_table),
+            lambda state: self.peer_changes.append(
+                state.report.changed_by_table
+            ),
             self.clock,
         )
 
-    def report(self) -> fleets.HostReport:
+    def report(self) -> state_link.HostReport:
         """What this host tells of itself."""
-        return fleets.HostReport(
+        return state_link.HostReport(
             self.is_serving, self.reaches_store, 0, 1.0, 3, {'op': 4}
         )
 
@@ -79,12 +81,9 @@
             f'{region}1',
             region,
             f'{ip}:80',
-            is_serving,
-            reaches_store,
-            0,
-            weight,
-            3,
-            {'op': 9},
+            state_link.HostReport(
+                is_serving, reaches_store, 0, weight, 3, {'op': 9}
+            ),
             {'t1': 2},
         )
         link = self.fleet._link
--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -103,7 +103,7 @@
     """Take the store down, make it slow or silent, or lose its answers."""
     duration_s = rng.uniform(0.5, 6.0)
     now_ms = fleet.clock.now_ms
-    fleet.disturb(('store',), now_ms, now_ms + int(duration_s * 1_000))
+    fleet.disturb((ledgers.STORE,), now_ms, now_ms + int(duration_s * 1_000))
     store = fleet.application.store
     how = rng.choice(('down', 'silent', 'slow', 'lost'))
     store.faults = row_store.Faults(
@@ -124,7 +124,7 @@
 async def forget_history(fleet: fleets.Fleet, rng: random.Random) -> None:
     """Let the store forget the changes that it has made."""
     now_ms = fleet.clock.now_ms
-    fleet.disturb(('store',), now_ms, now_ms)
+    fleet.disturb((ledgers.STORE,), now_ms, now_ms)
     fleet.application.store.forget_history()
 
 
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -184,9 +184,8 @@
                 self.ledger.fail(
                     'exit', f'{host.name} with status {process.returncode}'
                 )
-            host.process = None
-            if host.killed_ms is None:
                 host.killed_ms = self.clock.now_ms
+            host.process = None
             await asyncio.sleep(self.rng.randint(1, 5) * _RESTART_MS / 1_000)
             if host.is_wanted:
                 self.spawn(host)
--- a/tests/faults/test_ledger.py
+++ b/tests/faults/test_ledger.py
@@ -35,13 +35,8 @@
     return ledgers.Answer(NOW_MS + 50, status, signature, body, reason)
 
 
-def rules(ledger: ledgers.Ledger) -> list[str]:
-    """Names of the rules that were broken."""
-    return [violation.partition(':')[0] for violation in ledger.violations]
-
-
-def test_whole_response_passes() -> None:
-    """Guards against checks that fail what is right."""
+def make_served() -> ledgers.Ledger:
+    """Ledger with one request that was answered as it should be."""
     ledger, attempt = make()
     run_at(ledger)
     ledger.on_answer(
@@ -50,6 +45,17 @@
             200, ledgers.sign('r1', 't1', 200), ledgers.body_of('r1', 't1')
         ),
     )
+    return ledger
+
+
+def rules(ledger: ledgers.Ledger) -> list[str]:
+    """Names of the rules that were broken."""
+    return [violation.partition(':')[0] for violation in ledger.violations]
+
+
+def test_whole_response_passes() -> None:
+    """Guards against checks that fail what is right."""
+    ledger = make_served()
     assert ledger.violations == []
 
 
@@ -149,13 +155,6 @@
 
 def test_host_without_requests_is_found() -> None:
     """Guards against a host that its peers never name after a restart."""
-    ledger, attempt = make()
-    run_at(ledger)
-    ledger.on_answer(
-        attempt,
-        answer(
-            200, ledgers.sign('r1', 't1', 200), ledgers.body_of('r1', 't1')
-        ),
-    )
+    ledger = make_served()
     ledger.check_recovery(NOW_MS, NOW_MS + 100, {'h1', 'h2'})
     assert ledger.violations == ["recovery: nothing reached ['h2']"]
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -15,12 +15,7 @@
     'a1',
     'a',
     '10.0.0.2:80',
-    True,
-    True,
-    0,
-    1.0,
-    3,
-    {'op': 9},
+    state_link.HostReport(True, True, 0, 1.0, 3, {'op': 9}),
     {'t1': 2},
 )
 
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -29,6 +29,7 @@
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import store_view
 from wigeonhatch.metrics import collector
+from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
 from wigeonhatch.requests import relay as relays
@@ -191,10 +192,10 @@
         self._fleet.close()
         log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
 
-    def _report(self) -> fleets.HostReport:
+    def _report(self) -> state_link.HostReport:
         config = self._routes.config
         view = self._store_view
-        return fleets.HostReport(
+        return state_link.HostReport(
             is_serving=self.is_serving,
             reaches_store=view.is_reached and not self._is_stopping,
             followed_ms=view.followed_ms,
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -4,7 +4,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import logging
 
 from wigeonhatch import clock as clocks
@@ -35,27 +34,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostReport:
-    """What this host tells its peers of itself.
-
-    Args:
-        is_serving: Whether callers may be sent to it.
-        reaches_store: Whether its last calls to the store were answered.
-        followed_ms: Time for which it has followed the store itself in ms.
-        weight: Part of the callers that it takes beside a full host.
-        config_version: Version of the routing configuration in force.
-        changed_by_table: Newest change that it has seen, by table.
-    """
-
-    is_serving: bool
-    reaches_store: bool
-    followed_ms: int
-    weight: float
-    config_version: int
-    changed_by_table: dict[str, int]
-
-
 class Fleet:
     """Exchange states with all hosts.
 
@@ -73,7 +51,7 @@
         settings: edge_settings.EdgeSettings,
         store: stores.StoreClient,
         load_table: loads.LoadTable,
-        report: collections.abc.Callable[[], HostReport],
+        report: collections.abc.Callable[[], state_link.HostReport],
         on_peer: collections.abc.Callable[[state_link.HostState], None],
         clock: clocks.Clock,
     ) -> None:
@@ -156,7 +134,7 @@
         """Whether this host follows the store for its failure domain."""
         own = self._settings
         reaches_store_by_host = {
-            state.host: state.reaches_store
+            state.host: state.report.reaches_store
             for state in self.peers.live()
             if state.domain == own.domain
         }
@@ -228,11 +206,11 @@
             (
                 state.domain == own.domain,
                 state.region == own.region,
-                state.changed_by_table[table],
+                state.report.changed_by_table[table],
                 state.host,
             )
             for state in self.peers.live()
-            if state.changed_by_table.get(table, 0) > changed_version
+            if state.report.changed_by_table.get(table, 0) > changed_version
         )
         nearest = max(newer, default=None)
         ip = self.roster.ip_by_host.get(nearest[-1]) if nearest else None
@@ -263,9 +241,9 @@
             collections.defaultdict(dict)
         )
         for state in self.peers.live():
-            if state.is_serving:
+            if state.report.is_serving:
                 weights = weights_by_region[state.region]
-                weights[state.caller_address] = state.weight
+                weights[state.caller_address] = state.report.weight
         report = self._report()
         if report.is_serving:
             own = self._settings
@@ -294,7 +272,6 @@
             counts = {
                 name: counts[name] for name in busiest[: state_link.MAX_COUNTS]
             }
-        report = self._report()
         state = state_link.HostState(
             self._settings.host,
             self._incarnation,
@@ -302,12 +279,7 @@
             self._settings.domain,
             self._settings.region,
             self._settings.caller_address,
-            report.is_serving,
-            report.reaches_store,
-            report.followed_ms,
-            report.weight,
-            report.config_version,
-            report.changed_by_table,
+            self._report(),
             counts,
         )
         # A seed may be listed under its name as well.
--- a/wigeonhatch/entry/store_view.py
+++ b/wigeonhatch/entry/store_view.py
@@ -104,11 +104,11 @@
 
     def on_peer(self, state: state_link.HostState) -> None:
         """Compare the state of a peer with what this host has seen."""
-        for table, version in state.changed_by_table.items():
+        for table, version in state.report.changed_by_table.items():
             follower = self._follower_by_table.get(table)
             if follower is not None:
                 follower.on_peer_version(version)
-        self._catalog.on_peer_followed(state.followed_ms)
+        self._catalog.on_peer_followed(state.report.followed_ms)
 
     @property
     def _followers(
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -30,6 +30,28 @@
 _LOG = logging.getLogger(__name__)
 
 
+class HostReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a host tells of itself.
+
+    Args:
+        is_serving: Whether callers may be sent to it.
+        reaches_store: Whether its last calls to the store were answered.
+        followed_ms: Time for which it has followed the store without a failed
+            call in ms; 0 for hosts that learn from peers.
+        weight: Part of the callers that it takes beside a full host.
+        config_version: Version of the routing configuration in force.
+        changed_by_table: Newest change that it has seen, by table of the
+            platform's store.
+    """
+
+    is_serving: bool
+    reaches_store: bool
+    followed_ms: int
+    weight: float
+    config_version: int
+    changed_by_table: dict[str, int]
+
+
 class HostState(msgspec.Struct, frozen=True, array_like=True):
     """State that a host tells its peers.
 
@@ -40,14 +62,7 @@
         domain: Failure domain.
         region: Region.
         caller_address: `IP:PORT` of the callers' interface.
-        is_serving: Whether callers may be sent to it.
-        reaches_store: Whether its last call to the store was answered.
-        followed_ms: Time for which it has followed the store without a failed
-            call in ms; 0 for hosts that learn from peers.
-        weight: Part of the callers that it takes beside a full host.
-        config_version: Version of the routing configuration in force.
-        changed_by_table: Newest change that it has seen, by table of the
-            platform's store.
+        report: What it tells of itself.
         count_by_target: Its requests in progress by target.
     """
 
@@ -57,12 +72,7 @@
     domain: str
     region: str
     caller_address: str
-    is_serving: bool
-    reaches_store: bool
-    followed_ms: int
-    weight: float
-    config_version: int
-    changed_by_table: dict[str, int]
+    report: HostReport
     count_by_target: dict[str, int]
 
 
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -5,7 +5,6 @@
 import collections.abc
 import dataclasses
 import logging
-import sys
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
@@ -21,6 +20,7 @@
 from wigeonhatch.requests import model
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import relay_model
+from wigeonhatch.routes import model as routes_model
 from wigeonhatch.routes import table as tables
 
 _LOG = logging.getLogger(__name__)
@@ -118,16 +118,19 @@
         control = model.RequestControl()
         by_name = dict(scope['headers'])
         request = self._parse(scope, by_name, received_ms)
+        length: int | outcome.Failure = 0
         result: relay_model.Relayed | relay_model.Refused
         if isinstance(request, outcome.Failure):
             result = relay_model.Refused(request, pickers.MIN_RETURN_MS)
         else:
+            length = _fields.parse_length(
+                by_name, self._limits().max_body_bytes
+            )
             result = await self._receive_and_run(
-                by_name, receive, request, reply, control
+                length, receive, request, reply, control
             )
         if control.cause is not codes.ResultCode.CALLER_GONE:
             await self._answer(reply, request, result)
-        length = _fields.parse_length(by_name, sys.maxsize)
         self._report(
             request,
             result,
@@ -135,20 +138,22 @@
             length if isinstance(length, int) else 0,
         )
 
+    def _limits(self) -> routes_model.CallerLimits:
+        config = self._routes.config
+        assert config is not None
+        return config.limits
+
     async def _receive_and_run(
         self,
-        by_name: dict[bytes, bytes],
+        length: int | outcome.Failure,
         receive: _asgi.Receive,
         request: relay_model.RelayRequest,
         reply: _asgi.AsgiReply,
         control: model.RequestControl,
     ) -> relay_model.Relayed | relay_model.Refused:
-        config = self._routes.config
-        assert config is not None
-        limits = config.limits
-        length = _fields.parse_length(by_name, limits.max_body_bytes)
         if isinstance(length, outcome.Failure):
             return relay_model.Refused(length, pickers.MIN_RETURN_MS)
+        limits = self._limits()
         caller = _asgi.CallerConnection(
             receive, reply, control, limits.header_timeout_ms
         )
