Log the rate limit that a target states in its response

Operators reported targets that got far more requests than the rate limit that they had named.

The logs had no field from which to tell whether hosts do not read the limit or keep it each for itself. The field is now decoded and written to the lines of attempts; nothing decides on it yet.

Tests of messages and of the relay pass.

--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from wigeonhatch.platform import messages
 
 
@@ -49,6 +51,24 @@
     assert target_fields.warmup_left_ms == 250
 
 
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [
+        (b'3.9', 3.9),
+        (b'0', 0.0),
+        (b'', None),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+        (b'many', None),
+    ],
+)
+def test_rate_limit_of_a_target(value: bytes, expected: float | None) -> None:
+    """Guards against a rate limit that is not read, or a malformed one."""
+    target_fields = messages.read_target_fields([(b'server-limit', value)])
+    assert target_fields.max_rate_per_s == expected
+
+
 def test_directory_and_retry_after() -> None:
     """Guards against lookup responses and delays that callers cannot parse."""
     assert json.loads(messages.encode_directory(['10.0.0.1:80'], 2_000)) == {
--- a/wigeonhatch/platform/messages.py
+++ b/wigeonhatch/platform/messages.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import msgspec
 
@@ -38,6 +39,8 @@
         is_signed: Whether the response carries a signature.
         load: Running requests, queued requests and slots, if reported.
         warmup_left_ms: Remaining warm-up time; 0 if not reported.
+        max_rate_per_s: Requests per second that the target accepts from all
+            hosts together; None if it states no limit.
     """
 
     request_id: bytes
@@ -45,6 +48,7 @@
     is_signed: bool
     load: tuple[int, int, int] | None
     warmup_left_ms: int
+    max_rate_per_s: float | None
 
 
 def read_caller_fields(by_name: dict[bytes, bytes]) -> CallerFields:
@@ -73,6 +77,7 @@
         names.SIGNATURE in by_name,
         _parse_load(by_name.get(names.LOAD_REPORT)),
         _parse_digits(by_name.get(names.WARMUP_LEFT_MS)) or 0,
+        _parse_rate(by_name.get(names.RATE_LIMIT)),
     )
 
 
@@ -129,6 +134,16 @@
     return int(value[:_MAX_DEADLINE_DIGITS])
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    try:
+        rate_per_s = float(value or b'nan')
+    except ValueError:
+        return None
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        return None
+    return rate_per_s
+
+
 def _parse_load(value: bytes | None) -> tuple[int, int, int] | None:
     items = (value or b'').split(b',')
     if len(items) != 3 or not all(item.strip().isdigit() for item in items):
--- a/wigeonhatch/platform/names.py
+++ b/wigeonhatch/platform/names.py
@@ -19,6 +19,7 @@
 NOT_RUN = b'not-executed'
 SIGNATURE = b'response-signature'
 LOAD_REPORT = b'server-load'
+RATE_LIMIT = b'server-limit'
 WARMUP_LEFT_MS = b'warmup-ms'
 
 READINESS_PATH = '/readiness'
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -170,6 +170,7 @@
         started_ms = self._clock.now_ms
         self._loads.start(name)
         self._ejections.on_start(name)
+        history.target_fields = None
         result: relay_model.Response | outcome.Failure | None = None
         try:
             with anyio.CancelScope() as scope:
@@ -183,7 +184,7 @@
                     body,
                     name,
                     started_ms,
-                    functools.partial(self._on_response_head, name),
+                    functools.partial(self._on_response_head, name, history),
                     self._buffered,
                 )
             cause = control.leave()
@@ -210,6 +211,7 @@
             home=pick.is_home,
             slots=target.slots,
             cold=is_cold,
+            rate_limit=history.rate_limit_per_s,
             left_ms=request.deadline_ms - started_ms,
             took_ms=elapsed_ms,
             result=(
@@ -289,8 +291,12 @@
         return timer
 
     def _on_response_head(
-        self, target: str, head: messages.TargetFields
+        self,
+        target: str,
+        history: relay_model.AttemptHistory,
+        head: messages.TargetFields,
     ) -> None:
+        history.target_fields = head
         self._last_responses.on_response(target)
         if head.warmup_left_ms:
             self._targets.on_warmup_report(target, head.warmup_left_ms)
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from wigeonhatch import outcome
+from wigeonhatch.platform import messages
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.routes import model as routes
 
@@ -84,4 +85,11 @@
     connect_failures: int = 0
     may_have_run: bool = False
     failure: outcome.Failure | None = None
+    target_fields: messages.TargetFields | None = None
     error_response: Response | None = None
+
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Rate limit in the last response; None without one."""
+        fields = self.target_fields
+        return None if fields is None else fields.max_rate_per_s
