Reproduce targets that get more requests than their rate limit

Seven daemons with callers for three services; one target of each service states 0.5 or 3.7 requests a second in all responses. The rule of the fault soak counts the requests of informed hosts in each 4 s.

--- a/tests/faults/bounds.py
+++ b/tests/faults/bounds.py
@@ -27,6 +27,13 @@
 WARMUP_FACTOR = 1.5
 WARMUP_SLACK = 5
 """Maximum requests per second to a cold target: rate * factor + slack."""
+RATE_WINDOW_MS = 4_000
+RATE_FACTOR = 1.5
+RATE_SLACK = 5
+"""Maximum requests per window to a target that states a rate limit, from all
+informed hosts: rate * factor * window + slack."""
+RATE_NOTICE_MS = 500
+"""Time from the response that informs a host until its requests count."""
 LOOKUP_LAG_MS = 3_000
 """Time beyond convergence after which lookups must omit a killed host."""
 MAX_LOST = 3
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -9,6 +9,7 @@
 import hashlib
 
 from tests.faults import bounds
+from tests.faults import rate_rule
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 STORE = 'store'
@@ -150,6 +151,7 @@
         self.leaving_ms_by_target: dict[str, int] = {}
         self.evacuated_ms_by_target: dict[str, int] = {}
         self.warmup_end_ms_by_target: dict[str, int] = {}
+        self.rate_rule = rate_rule.RateRule()
         self._arrivals: dict[str, list[tuple[int, str]]] = (
             collections.defaultdict(list)
         )
@@ -175,6 +177,12 @@
         self._arrivals[request.kind].append((now_ms, request_id))
         if now_ms < self.warmup_end_ms_by_target.get(target, 0):
             self._check_warmup(target, now_ms)
+        if self.disturbances.is_undisturbed(
+            (request.host,), now_ms - bounds.CONVERGENCE_MS, now_ms
+        ):
+            violation = self.rate_rule.on_arrival(target, request.host, now_ms)
+            if violation:
+                self.fail('rate', violation)
         has_converged = self.disturbances.has_converged(request.host, now_ms)
         for rule, limit_ms, since_by_target in (
             ('drain', bounds.DRAIN_MS, self.leaving_ms_by_target),
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -56,7 +56,7 @@
             fleet.disturb(names, start_ms, clock.now_ms)
 
 
-async def _wait_until_ready(fleet: fleets.Fleet) -> None:
+async def wait_until_ready(fleet: fleets.Fleet) -> None:
     async with asyncio.timeout(_START_TIMEOUT_S):
         for host in fleet.hosts:
             address = host.address(fleet.port('ready'))
@@ -105,7 +105,7 @@
     tasks: list[asyncio.Task[None]] = []
     try:
         await fleet.start(targets_per_service)
-        await _wait_until_ready(fleet)
+        await wait_until_ready(fleet)
         coroutines = [
             _record_stalls(fleet),
             *(fleet.restart_on_exit(host) for host in fleet.hosts),
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -66,6 +66,7 @@
         self.proxy = proxy
         self.faults = Faults()
         self.is_draining = False
+        self.rate_limit_per_s: float | None = None
         self.started_ms = clock.now_ms
         self._ledger = ledger
         self._clock = clock
@@ -83,6 +84,16 @@
         )
         self.proxy.upstream = self._server.sockets[0].getsockname()[:2]
 
+    def limit_rate(self, rate_per_s: float) -> None:
+        """State a rate limit in all responses from now on."""
+        self.rate_limit_per_s = rate_per_s
+        self._ledger.rate_rule.begin(self.name, rate_per_s, self._clock.now_ms)
+
+    def lift_rate_limit(self) -> None:
+        """Stop to state a rate limit."""
+        self.rate_limit_per_s = None
+        self._ledger.rate_rule.end(self.name)
+
     def close(self) -> None:
         """Stop immediately and abort all connections."""
         if self._server is not None:
@@ -210,6 +221,13 @@
         field: str,
         corruption: str = '',
     ) -> bool:
+        if self.rate_limit_per_s is not None:
+            field += f'\r\nServer-Limit: {self.rate_limit_per_s}'
+            request = self._ledger.request_by_id.get(request_id)
+            if request is not None:
+                self._ledger.rate_rule.on_response(
+                    self.name, request.host, self._clock.now_ms
+                )
         head = (
             f'HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{field}\r\n'
             f'Server-Load: {self._running},{self._queued},{SLOTS}\r\n'
--- a/tests/faults/test_ledger.py
+++ b/tests/faults/test_ledger.py
@@ -6,6 +6,7 @@
 
 from tests.faults import bounds
 from tests.faults import ledger as ledgers
+from tests.faults import rate_rule
 
 NOW_MS = 100_000
 CONTENT = ledgers.hash_content('POST', '/write/1', b'x')
@@ -158,3 +159,24 @@
     ledger = make_served_ledger()
     ledger.check_recovery(NOW_MS, NOW_MS + 100, {'h1', 'h2'})
     assert ledger.violations == ["recovery: no request reached ['h2']"]
+
+
+@pytest.mark.parametrize(
+    ('informed_ms', 'sent', 'is_violation'),
+    [(0, 12, True), (0, 11, False), (None, 12, False), (7_900, 12, False)],
+)
+def test_requests_beyond_a_rate_limit(
+    informed_ms: int | None, sent: int, is_violation: bool
+) -> None:
+    """Guards against a rule that misses, or blames hosts not yet informed.
+
+    At one request a second, 11 are allowed in 4 s.
+    """
+    rule = rate_rule.RateRule()
+    rule.begin('t1', 1.0, 0)
+    if informed_ms is not None:
+        rule.on_response('t1', 'h1', informed_ms)
+    violations = [
+        rule.on_arrival('t1', 'h1', 8_000 + number) for number in range(sent)
+    ]
+    assert any(violations) is is_violation
