Keep the rate limits that targets state, over all hosts together

What callers and operators saw: two targets that had named 3.7 and 1.1 requests a second got 40 and 19 in 4 s; 27 and 12 were allowed.

Cause: no host read the field, so that each sent as before. Reading it on each host alone would not have sufficed: seven hosts that each keep 3.7 a second send 26, and tokens saved up by 60 hosts exceed a limit of one a second at once.

Change: hosts tell their peers what targets state, with its age, in the states that they exchange. The serving hosts of the target's region that rank first divide the rate; there are at most as many as requests a second, and a host that cannot hear others uses the fraction of those that it hears. Every attempt takes a token, retries and trials as well. The limit ends with newer responses that state none, or with the target's restart. A misdirected response says nothing about the target that it was meant for.

Why it works: the tokens of all owners together are the rate and at most one saved token for each request a second, for any number of hosts, and disjoint groups of hosts use disjoint parts of the rate.

The soak states limits at random as well.

--- a/benchmarks/edge_control.py
+++ b/benchmarks/edge_control.py
@@ -17,6 +17,8 @@
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
 from wigeonhatch.peers import state_link
@@ -87,6 +89,12 @@
         load_table,
         ejections,
         warmup.WarmupBudget('h', clock, lambda: frozenset({'h'})),
+        rate_budget.RateBudget(
+            'h',
+            rate_limits.RateLimitTable(clock),
+            lambda _: rate_budget.HostGroup(frozenset({'h'}), 1),
+            clock,
+        ),
         clock,
     )
     picker.configure({'s': SERVICE_CONFIG})
--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -8,6 +8,8 @@
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
 from wigeonhatch.routes import model
@@ -63,6 +65,13 @@
         self.loads = loads.LoadTable(self.clock)
         self.ejections = ejection.EjectionTable(self.clock)
         self.warmups = warmup.WarmupBudget('h1', self.clock, lambda: hosts)
+        self.limits = rate_limits.RateLimitTable(self.clock)
+        self.rates = rate_budget.RateBudget(
+            'h1',
+            self.limits,
+            lambda _: rate_budget.HostGroup(frozenset(hosts), len(hosts)),
+            self.clock,
+        )
         self.picker = pickers.Picker(
             region_selector.RegionSelector(
                 'a',
@@ -77,6 +86,7 @@
             self.loads,
             self.ejections,
             self.warmups,
+            self.rates,
             self.clock,
         )
         self.picker.configure({'board': SERVICE_CONFIG})
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -10,6 +10,8 @@
 from tests.entry import fake_store
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.peers import readers
@@ -46,10 +48,12 @@
         self.peer_changes: list[dict[str, int]] = []
         self.clock = clocks.ManualClock()
         self.loads = loads.LoadTable(self.clock)
+        self.limits = rate_limits.RateLimitTable(self.clock)
         self.fleet = fleets.Fleet(
             SETTINGS,
             typing.cast(typing.Any, None),
             self.loads,
+            self.limits,
             self.report,
             lambda state: self.peer_changes.append(
                 state.report.changed_by_table
@@ -106,6 +110,20 @@
     assert select('a', 'c1') == []
 
 
+def test_serving_hosts_of_the_region_send_to_limited_targets() -> None:
+    """Guards against owners that send no requests, or whole rates in parts."""
+    harness = _FleetHarness()
+    harness.receive_state('h2', 'a')
+    harness.receive_state('h3', 'b')
+    harness.receive_state('h4', 'a', is_serving=False)
+    find = harness.fleet.find_senders
+    assert find('a1') == rate_budget.HostGroup(frozenset({'h1', 'h2'}), 2)
+    assert find('b1') == rate_budget.HostGroup(frozenset({'h3'}), 1)
+    harness.clock.advance(state_link.PEER_TIMEOUT_MS + 1)
+    assert find('a1') == rate_budget.HostGroup(frozenset({'h1'}), 3)
+    assert find('b1') == rate_budget.HostGroup(frozenset({'h1'}), 4)
+
+
 def test_hosts_with_slow_links_are_returned_to_few_callers() -> None:
     """Guards against hosts with saturated links while others are idle.
 
--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -243,6 +243,17 @@
     fleet.end_evacuation(domain)
 
 
+async def limit_rates(fleet: fleets.Fleet, rng: random.Random) -> None:
+    """Make one target after the other state a rate limit until cancelled."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        target = _choose_target(fleet, rng)
+        if target is not None:
+            target.limit_rate(rng.choice((0.5, 2.0, 8.0)))
+            await asyncio.sleep(rng.uniform(5.0, 10.0))
+            target.lift_rate_limit()
+
+
 PLANNED: tuple[Event, ...] = (
     stop_host,
     stop_hosts_in_turn,
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -178,7 +178,7 @@
         if now_ms < self.warmup_end_ms_by_target.get(target, 0):
             self._check_warmup(target, now_ms)
         if self.disturbances.is_undisturbed(
-            (request.host,), now_ms - bounds.CONVERGENCE_MS, now_ms
+            (request.host, target), now_ms - bounds.CONVERGENCE_MS, now_ms
         ):
             violation = self.rate_rule.on_arrival(target, request.host, now_ms)
             if violation:
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -108,6 +108,9 @@
         await wait_until_ready(fleet)
         coroutines = [
             _record_stalls(fleet),
+            # A random number generator of its own keeps the other events of
+            # a seed.
+            events.limit_rates(fleet, random.Random(f'{seed}/rates')),
             *(fleet.restart_on_exit(host) for host in fleet.hosts),
             *(
                 callers.Caller(n, fleet, 100).run()
--- a/tests/requests/test_endless_response.py
+++ b/tests/requests/test_endless_response.py
@@ -110,6 +110,8 @@
             self.scene.loads,
             self.scene.ejections,
             self.scene.warmups,
+            self.scene.limits,
+            self.scene.rates,
             self.scene.targets,
             self.client,
             lambda: retry.RetryBudget(0, 1),
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -99,6 +99,8 @@
             self.scene.loads,
             self.scene.ejections,
             self.scene.warmups,
+            self.scene.limits,
+            self.scene.rates,
             self.scene.targets,
             typing.cast(typing.Any, self.client),
             lambda: retry.RetryBudget(0, retries),
@@ -289,3 +291,21 @@
     with pytest.raises(TimeoutError):
         rig.run(kind, within_s=0.6)
     assert len(rig.client.targets) == 1
+
+
+def test_rate_limit_of_a_response_applies_to_later_requests() -> None:
+    """Guards against a target that gets requests beyond its stated limit."""
+    limited = (SIGNED, (b'server-limit', b'0.5'))
+    rig = _Rig(lambda: _Response(headers=limited), _Response, _Response)
+    for _ in range(3):
+        assert isinstance(rig.run(), relay_model.Response)
+    assert rig.client.targets[0] not in rig.client.targets[1:]
+
+
+def test_misdirected_response_states_no_limit() -> None:
+    """Guards against a limit of the target that reuses an address."""
+    headers = (NOT_RUN, (b'server-limit', b'0.5'))
+    rig = _Rig(lambda: _Response(421, headers), _Response)
+    assert isinstance(rig.run(), relay_model.Response)
+    targets = rig.scene.targets.record_by_name
+    assert rig.scene.limits.rate_per_s(targets[rig.client.targets[0]]) is None
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -12,6 +12,7 @@
 from wigeonhatch.balance import affinity
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import rate_budget
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
 from wigeonhatch.routes import model
@@ -91,6 +92,7 @@
         load_table: Requests in progress.
         ejections: Targets that are ejected because they fail.
         warmups: Rate limit of cold targets.
+        rates: Share in the rate limits that targets state.
         clock: Source of monotonic time.
     """
 
@@ -101,6 +103,7 @@
         load_table: loads.LoadTable,
         ejections: ejection.EjectionTable,
         warmups: warmup.WarmupBudget,
+        rates: rate_budget.RateBudget,
         clock: clocks.Clock,
     ) -> None:
         self._regions = regions
@@ -108,6 +111,7 @@
         self._loads = load_table
         self._ejections = ejections
         self._warmups = warmups
+        self._rates = rates
         self._service_by_name: dict[str, model.ServiceConfig] = {}
         self._affinity_keys = affinity.AffinityKeyCounter(clock)
         self._find_regions = functools.lru_cache(_MAX_SERVICES)(
@@ -245,6 +249,8 @@
                 name, rate_per_s
             ):
                 continue
+            if not self._rates.has_token(record):
+                continue
             yield record
 
     def _is_loaded(
--- a/wigeonhatch/balance/warmup.py
+++ b/wigeonhatch/balance/warmup.py
@@ -5,20 +5,13 @@
 import collections.abc
 
 from wigeonhatch import clock as clocks
+from wigeonhatch.balance import _token_bucket
 from wigeonhatch.steering import rendezvous
 
 MAX_OWNERS = 2
 """Hosts that send to one cold target, so that one is left if one fails."""
 
 
-class _TokenBucket:
-    __slots__ = ('tokens', 'updated_ms')
-
-    def __init__(self, now_ms: int) -> None:
-        self.tokens = 1.0
-        self.updated_ms = now_ms
-
-
 class WarmupBudget:
     """Limit the rate of this host's requests to each cold target.
 
@@ -41,7 +34,7 @@
         self._host = host
         self._clock = clock
         self._live_hosts = live_hosts
-        self._bucket_by_target: dict[str, _TokenBucket] = {}
+        self._bucket_by_target: dict[str, _token_bucket.TokenBucket] = {}
 
     def has_token(self, target: str, rate_per_s: float) -> bool:
         """Tell whether a request may be sent to a cold target.
@@ -55,27 +48,19 @@
         owners = rendezvous.rank(self._live_hosts(), target)[:MAX_OWNERS]
         if self._host not in owners:
             return False
-        return self._refill(target, rate_per_s / len(owners)).tokens >= 1.0
+        bucket = self._bucket_by_target.get(target)
+        if bucket is None:
+            bucket = _token_bucket.TokenBucket(self._clock)
+            self._bucket_by_target[target] = bucket
+        return bucket.refill(rate_per_s / len(owners))
 
     def take_token(self, target: str) -> None:
         """Consume the token whose presence `has_token` has confirmed."""
         bucket = self._bucket_by_target.get(target)
         if bucket is not None:
-            bucket.tokens -= 1.0
+            bucket.take()
 
     def retain(self, targets: collections.abc.Set[str]) -> None:
         """Discard the budgets of all targets except the given ones."""
         for target in self._bucket_by_target.keys() - targets:
             del self._bucket_by_target[target]
-
-    def _refill(self, target: str, rate_per_s: float) -> _TokenBucket:
-        now_ms = self._clock.now_ms
-        bucket = self._bucket_by_target.get(target)
-        if bucket is None:
-            bucket = self._bucket_by_target[target] = _TokenBucket(now_ms)
-        elapsed_ms = now_ms - bucket.updated_ms
-        bucket.updated_ms = now_ms
-        bucket.tokens = min(
-            1.0, bucket.tokens + rate_per_s * elapsed_ms / 1_000
-        )
-        return bucket
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -19,6 +19,8 @@
 from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import region_split
 from wigeonhatch.balance import warmup
@@ -89,6 +91,7 @@
         self._routes = tables.RouteTable()
         self._targets = registry.TargetRegistry(clock)
         self._loads = loads.LoadTable(clock)
+        self._limits = rate_limits.RateLimitTable(clock)
         self._ejections = ejection.EjectionTable(clock)
         self._link_weight = host_weight.LinkWeight(
             settings.link_mbps,
@@ -98,6 +101,7 @@
             settings,
             self._store,
             self._loads,
+            self._limits,
             self._build_report,
             lambda state: self._store_follower.on_peer_state(state),
             clock,
@@ -105,6 +109,9 @@
         self._warmups = warmup.WarmupBudget(
             settings.host, clock, self._fleet.live_hosts
         )
+        self._rates = rate_budget.RateBudget(
+            settings.host, self._limits, self._fleet.find_senders, clock
+        )
         self._regions = region_selector.RegionSelector(
             settings.region,
             settings.region_by_domain,
@@ -120,6 +127,7 @@
             self._loads,
             self._ejections,
             self._warmups,
+            self._rates,
             clock,
         )
         self._metrics.set_selection_counters(
@@ -145,6 +153,8 @@
             self._loads,
             self._ejections,
             self._warmups,
+            self._limits,
+            self._rates,
             self._targets,
             self._client,
             self._build_retry_budget,
@@ -310,6 +320,8 @@
         config = self._routes.config
         self._ejections.retain(frozenset(records))
         self._warmups.retain(records.keys())
+        self._limits.retain(records.values())
+        self._rates.retain(records.keys())
         services = {} if config is None else config.service_by_name
         self._client.set_targets(
             {
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -11,6 +11,8 @@
 from wigeonhatch import settings as settings_module
 from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.peers import readers
 from wigeonhatch.peers import roster as rosters
@@ -41,6 +43,7 @@
         settings: Settings of this host.
         store: Client of the platform's store.
         load_table: Requests in progress by target.
+        limits: Rate limits that targets state.
         report: Returns the status that this host reports about itself.
         on_peer_state: Called with each new state of a peer.
         clock: Clock of the host.
@@ -51,6 +54,7 @@
         settings: edge_settings.EdgeSettings,
         store: stores.StoreClient,
         load_table: loads.LoadTable,
+        limits: rate_limits.RateLimitTable,
         report: collections.abc.Callable[[], state_link.HostReport],
         on_peer_state: collections.abc.Callable[[state_link.HostState], None],
         clock: clocks.Clock,
@@ -64,6 +68,7 @@
         self.add_seeds(settings.seeds)
         self._store = store
         self._loads = load_table
+        self._limits = limits
         self._report = report
         self._on_peer_state = on_peer_state
         self._clock = clock
@@ -226,6 +231,40 @@
             (self._settings.host, *(s.host for s in self.peers.live_states()))
         )
 
+    def find_senders(self, domain: str) -> rate_budget.HostGroup:
+        """Find the hosts that may send to a target with a rate limit.
+
+        Args:
+            domain: Failure domain of the target.
+
+        Returns:
+            The serving hosts of its region; those of all regions if it has
+            none.
+        """
+        own = self._settings
+        states = self.peers.live_states()
+        serving = {
+            state.host: state.region
+            for state in states
+            if state.report.is_serving
+        }
+        if self._report().is_serving:
+            serving[own.host] = own.region
+        silent = {
+            host: region
+            for host, region in self.peers.region_by_host().items()
+            if host in self.roster.ip_by_host
+        }
+        for state in states:
+            silent.pop(state.host, None)
+        region = own.region_by_domain.get(domain, domain)
+        if region not in serving.values():
+            return _group(serving.keys(), silent.keys())
+        return _group(
+            (host for host in serving if serving[host] == region),
+            (host for host in silent if silent[host] == region),
+        )
+
     def select_addresses(self, region: str, caller: str) -> list[str]:
         """Select the hosts that a lookup returns to a caller.
 
@@ -264,6 +303,7 @@
         ip, _ = settings_module.parse_address(state.caller_address)
         self.roster.set_ip(state.host, ip)
         self._loads.on_report(state.host, state.count_by_target)
+        self._limits.on_report(state.rate_statements)
         self._on_peer_state(state)
 
     def _send(self, hosts: collections.abc.Iterable[str]) -> None:
@@ -284,8 +324,16 @@
             self._settings.caller_address,
             self._report(),
             counts,
+            self._limits.build_report(),
         )
         # A seed may also be on the roster under its host name.
         ips = {self.roster.ip_by_host[host] for host in hosts}
         port = self._settings.peer_port
         self._link.send(state, [(ip, port) for ip in sorted(ips)])
+
+
+def _group(
+    live: collections.abc.Iterable[str], silent: collections.abc.Iterable[str]
+) -> rate_budget.HostGroup:
+    hosts = frozenset(live)
+    return rate_budget.HostGroup(hosts, len(hosts) + len(list(silent)))
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -16,6 +16,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
+from wigeonhatch.balance import rate_limits
 
 INTERVAL_MS = 200
 """Interval of datagrams within a region; bounds the age of target counts."""
@@ -64,6 +65,7 @@
         caller_address: `IP:PORT` of the callers' interface.
         report: Status that it reports about itself.
         count_by_target: Number of its requests in flight by target.
+        rate_statements: Rate limits that targets have stated.
     """
 
     host: str
@@ -74,6 +76,7 @@
     caller_address: str
     report: HostReport
     count_by_target: dict[str, int]
+    rate_statements: tuple[rate_limits.RateStatement, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/wigeonhatch/requests/_exchange.py
+++ b/wigeonhatch/requests/_exchange.py
@@ -58,7 +58,9 @@
         return send_result
     response = send_result.value
     target_fields = messages.read_target_fields(response.headers)
-    on_response_head(target_fields)
+    if response.status != _MISDIRECTED:
+        # The fields of a misdirected response describe another target.
+        on_response_head(target_fields)
     if target_fields.request_id != request.request_id:
         await response.close()
         return outcome.Failure(
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -18,9 +18,12 @@
 from wigeonhatch.balance import inactivity
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.balance import rate_budget
+from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import warmup
 from wigeonhatch.platform import messages
 from wigeonhatch.requests import _exchange
+from wigeonhatch.requests import _query
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model
 from wigeonhatch.requests import relay_model
@@ -38,9 +41,6 @@
 response for this multiple of the longest usual duration."""
 MIN_INACTIVITY_MS = 400.0
 """Lower bound of that time."""
-LATE_WAIT_FRACTION = 0.5
-"""Fraction of the remaining time that a request past its objective may wait
-for a slot, so that it ends well before its caller times out."""
 MAX_CONNECT_RETRIES = 3
 """Failed connections per request that are retried outside the budget."""
 _SERVER_ERROR = 500
@@ -54,6 +54,8 @@
         load_table: Number of requests in progress at each target.
         ejections: Outlier ejection of failing targets.
         warmups: Request rate limits of cold targets.
+        limits: Rate limits that targets state.
+        rates: Share of this host in these limits.
         targets: Registry of targets.
         client: HTTP client of the targets.
         build_budget: Builds the retry budget of a service.
@@ -66,6 +68,8 @@
         load_table: loads.LoadTable,
         ejections: ejection.EjectionTable,
         warmups: warmup.WarmupBudget,
+        limits: rate_limits.RateLimitTable,
+        rates: rate_budget.RateBudget,
         targets: registry.TargetRegistry,
         client: target_client.TargetClient,
         build_budget: collections.abc.Callable[[], retry.RetryBudget],
@@ -75,6 +79,8 @@
         self._loads = load_table
         self._ejections = ejections
         self._warmups = warmups
+        self._limits = limits
+        self._rates = rates
         self._targets = targets
         self.is_stopping = False
         self._client = client
@@ -113,7 +119,7 @@
             ):
                 return self._refuse(history, history.failure.code)
             pick = self._picker.pick(
-                _build_query(
+                _query.build_query(
                     request,
                     remaining_ms,
                     self._loads.duration_ms(request.service, True),
@@ -165,6 +171,7 @@
         is_cold = self._targets.is_cold(name)
         if is_cold:
             self._warmups.take_token(name)
+        self._rates.take_token(target)
         history.tried_targets.add(name)
         load = self._loads.in_progress(name)
         started_ms = self._clock.now_ms
@@ -184,7 +191,9 @@
                     body,
                     name,
                     started_ms,
-                    functools.partial(self._on_response_head, name, history),
+                    functools.partial(
+                        self._on_response_head, request, target, history
+                    ),
                     self._buffered,
                 )
             cause = control.leave()
@@ -292,14 +301,18 @@
 
     def _on_response_head(
         self,
-        target: str,
+        request: relay_model.RelayRequest,
+        target: registry.TargetRecord,
         history: relay_model.AttemptHistory,
         head: messages.TargetFields,
     ) -> None:
         history.target_fields = head
-        self._last_responses.on_response(target)
+        self._last_responses.on_response(target.name)
         if head.warmup_left_ms:
-            self._targets.on_warmup_report(target, head.warmup_left_ms)
+            self._targets.on_warmup_report(target.name, head.warmup_left_ms)
+        is_own = head.is_signed and head.request_id == request.request_id
+        if is_own or head.max_rate_per_s is not None:
+            self._limits.on_response(target, head.max_rate_per_s)
 
     def _update_target_health(
         self,
@@ -376,23 +389,3 @@
         codes.ResultCode.TARGET_LOST,
     }
 )
-
-
-def _build_query(
-    request: relay_model.RelayRequest, remaining_ms: int, duration_ms: float
-) -> pickers.Query:
-    """Limit the wait for a slot to what the latency objective allows.
-
-    A request that misses the objective even without a wait may wait for a
-    fraction of the time to its deadline.
-    """
-    waited_ms = request.deadline_ms - remaining_ms - request.received_ms
-    max_wait_ms = request.route.objective_ms - waited_ms - duration_ms
-    if max_wait_ms <= 0:
-        max_wait_ms = (remaining_ms - duration_ms) * LATE_WAIT_FRACTION
-    return pickers.Query(
-        request.service,
-        request.affinity_key if request.route.has_affinity else b'',
-        request.route.allowed_regions,
-        max(0.0, max_wait_ms),
-    )
