Log when the store was restored from a copy

After a restore the store gives versions out again. The logs had the versions, but nothing tells a restored store from one that fails.

The era in the responses of the store is read and logged when it changes; nothing decides on it yet.

--- a/wigeonhatch/platform/_reply.py
+++ b/wigeonhatch/platform/_reply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -9,6 +10,7 @@
 import msgspec
 
 from wigeonhatch.platform import interface
+from wigeonhatch.platform import names
 
 NOT_SENT = (
     httpcore.ConnectError,
@@ -28,10 +30,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Status and body of an HTTP response."""
+    """Status and body of an HTTP response, and the era of the store."""
 
     status: int
     body: bytes
+    era: int = 0
+
+
+def read_era(
+    headers: collections.abc.Iterable[tuple[bytes, bytes]],
+) -> int:
+    """Read the era of the store from the header fields of a response.
+
+    Args:
+        headers: Pairs of a name and a value.
+
+    Returns:
+        Number of times that the store was restored from a copy; 0 if the
+        field is missing or malformed.
+    """
+    for name, value in headers:
+        if name.lower() == names.STORE_ERA and value.isdigit():
+            return int(value)
+    return 0
 
 
 def decode(
--- a/wigeonhatch/platform/names.py
+++ b/wigeonhatch/platform/names.py
@@ -21,6 +21,7 @@
 LOAD_REPORT = b'server-load'
 RATE_LIMIT = b'server-limit'
 WARMUP_LEFT_MS = b'warmup-ms'
+STORE_ERA = b'store-era'
 
 READINESS_PATH = '/readiness'
 DIRECTORY_PATH = '/resolve'
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -5,11 +5,13 @@
 import base64
 import collections.abc
 import dataclasses
+import logging
 import urllib.parse
 
 import httpcore
 import msgspec
 
+from wigeonhatch import log
 from wigeonhatch import sockets
 from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
@@ -23,6 +25,7 @@
 _MAX_CONNECTIONS = 5
 _PAGE_ROWS = 500
 _STATUS_GONE = 410
+_LOG = logging.getLogger(__name__)
 
 
 class _WireRow(msgspec.Struct):
@@ -86,6 +89,7 @@
 
     def __init__(self, address: str) -> None:
         self._base_url = f'http://{address}'
+        self._era = 0
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=10,
@@ -233,7 +237,14 @@
         except _reply.MAYBE_SENT as error:
             await self._close_idle()
             return interface.Unknown(type(error).__name__)
-        return _reply.Reply(response.status, response.content)
+        era = _reply.read_era(response.headers)
+        self._on_era(era)
+        return _reply.Reply(response.status, response.content, era)
+
+    def _on_era(self, era: int) -> None:
+        if era != self._era:
+            log.event(_LOG, 'store era changed', era=era, previous=self._era)
+            self._era = era
 
 
 _JSON_HEADER = (b'Content-Type', b'application/json')
