Reproduce configurations that are not in force after a restore

The stand-in of the store can go back to a copy: versions are given out again, a read after an unknown version gets 410, and the era in its responses rises.

--- a/wigeonhatch/standins/_asgi.py
+++ b/wigeonhatch/standins/_asgi.py
@@ -46,13 +46,18 @@
     await send({'type': 'http.response.body', 'body': body})
 
 
-async def respond_json(send: Send, status: int, value: object) -> None:
+async def respond_json(
+    send: Send,
+    status: int,
+    value: object,
+    headers: collections.abc.Iterable[tuple[bytes, bytes]] = (),
+) -> None:
     """Send a complete response with a JSON body."""
     await respond(
         send,
         status,
         msgspec.json.encode(value),
-        [(b'content-type', b'application/json')],
+        [(b'content-type', b'application/json'), *headers],
     )
 
 
--- a/wigeonhatch/standins/row_store.py
+++ b/wigeonhatch/standins/row_store.py
@@ -32,6 +32,14 @@
     delay_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """Content of a store at one moment."""
+
+    version: int
+    row_by_key: dict[tuple[str, str], dict[str, typing.Any]]
+
+
 class RowStore:
     """Tables of rows and a change log with one version counter."""
 
@@ -39,6 +47,7 @@
         self.version = 0
         self.faults = Faults()
         self.history_start_version = 0
+        self.era = 0
         self._row_by_key: dict[tuple[str, str], dict[str, typing.Any]] = {}
         self._change_log: list[dict[str, typing.Any]] = []
         self._change_event = asyncio.Event()
@@ -71,6 +80,17 @@
         self.history_start_version = self.version
         self._notify_followers()
 
+    def copy(self) -> Copy:
+        """Copy the rows and the version."""
+        return Copy(self.version, dict(self._row_by_key))
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy; later versions are given out again."""
+        self.version = copy.version
+        self._row_by_key = dict(copy.row_by_key)
+        self.era += 1
+        self.discard_history()
+
     def rows(self, table: str) -> list[dict[str, typing.Any]]:
         """Return all rows of a table, sorted by key."""
         return [
@@ -89,7 +109,7 @@
         """
         with anyio.move_on_after(wait_ms / 1_000):
             while True:
-                if after < self.history_start_version:
+                if not self.history_start_version <= after <= self.version:
                     return None
                 changes = [
                     row
@@ -154,7 +174,8 @@
         query = dict(urllib.parse.parse_qsl(scope['query_string'].decode()))
         status, response = await self._handle(path, query, body)
         response |= {'ver': self.store.version, 'now': '0ms'}
-        await _asgi.respond_json(send, status, response)
+        era = str(self.store.era).encode()
+        await _asgi.respond_json(send, status, response, [(b'store-era', era)])
 
     async def _handle(
         self, path: str, query: dict[str, str], body: bytes
