Tell the histories of a restored store apart

Cause: after a restore the store gives versions out again, and hosts compared them as if of one history. A host that reads from peers held version 57 of the lost history; the new configuration got version 57 as well, so that the host never asked for it. Readers read all rows again after 410, but no others, and took hosts with the lost version for ones that had seen more.

Change: the era of the store's responses precedes the version, in one number, so that it also passes through the messages between hosts. A follower that meets a new era reads all rows; a response of an earlier era is discarded.

--- a/tests/entry/fake_store.py
+++ b/tests/entry/fake_store.py
@@ -9,6 +9,7 @@
 
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
+from wigeonhatch.platform import store_version
 from wigeonhatch.standins import row_store
 
 
@@ -34,7 +35,8 @@
         if self.is_down:
             return interface.Unavailable('down')
         return stores.RowBatch(
-            tuple(map(_decode, self.rows.rows(table))), self.rows.version
+            tuple(self._decode(row) for row in self.rows.rows(table)),
+            self._version,
         )
 
     async def put_row(self, table: str, key: str, value: bytes) -> int:
@@ -50,16 +52,22 @@
             await anyio.sleep_forever()
         if self.is_down:
             return interface.Unavailable('down')
-        changes = await self.rows.wait_for_changes(table, after, 1)
-        if changes is None:
+        number = store_version.number_of(after)
+        changes = await self.rows.wait_for_changes(table, number, 1)
+        if changes is None or store_version.era_of(after) != self.rows.era:
             return stores.HistoryGone()
-        return stores.RowBatch(tuple(map(_decode, changes)), self.rows.version)
+        return stores.RowBatch(
+            tuple(self._decode(row) for row in changes), self._version
+        )
 
+    @property
+    def _version(self) -> int:
+        return store_version.combine(self.rows.era, self.rows.version)
 
-def _decode(row: dict[str, typing.Any]) -> stores.StoredRow:
-    return stores.StoredRow(
-        row['key'],
-        base64.b64decode(row.get('value', '')),
-        row['ver'],
-        row.get('deleted', False),
-    )
+    def _decode(self, row: dict[str, typing.Any]) -> stores.StoredRow:
+        return stores.StoredRow(
+            row['key'],
+            base64.b64decode(row.get('value', '')),
+            store_version.combine(self.rows.era, row['ver']),
+            row.get('deleted', False),
+        )
--- a/tests/entry/test_catalog.py
+++ b/tests/entry/test_catalog.py
@@ -4,9 +4,12 @@
 
 import json
 
+import pytest
+
 from tests.platform import test_decode
 from wigeonhatch import clock as clocks
 from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import restore_hold
 from wigeonhatch.platform import store as stores
 from wigeonhatch.routes import model
 from wigeonhatch.routes import table as tables
@@ -45,11 +48,13 @@
     return stores.StoredRow('config', json.dumps(document).encode(), version)
 
 
-def target_row(name: str, version: int = 1) -> stores.StoredRow:
+def target_row(
+    name: str, version: int = 1, state: str = 'ready', started_ms: int = 1
+) -> stores.StoredRow:
     """Build the row of a target."""
-    return stores.StoredRow(
-        name, test_decode.encode(test_decode.TARGET), version
-    )
+    status = test_decode.TARGET['status'] | {'state': state}
+    content = test_decode.TARGET | {'status': status, 'born': started_ms}
+    return stores.StoredRow(name, test_decode.encode(content), version)
 
 
 def deleted_row(name: str) -> stores.StoredRow:
@@ -165,3 +170,80 @@
         [deleted_row('t0'), target_row('t0', 10)]
     )
     assert harness.names == {'t0'}
+
+
+def test_targets_that_left_stay_away_after_a_restore() -> None:
+    """Guards against requests to targets that an older copy shows as ready."""
+    harness = _CatalogHarness()
+    names = ('draining', 'removed', 'restarted', 'other')
+    harness.catalog.on_target_snapshot([target_row(name) for name in names])
+    harness.catalog.on_target_changes(
+        [
+            target_row('draining', 2, 'draining'),
+            deleted_row('removed'),
+            target_row('restarted', 3, started_ms=2),
+        ]
+    )
+    harness.catalog.on_store_restored()
+    harness.catalog.on_target_snapshot([target_row(name) for name in names])
+    by_name = harness.targets.record_by_name
+    assert by_name['draining'].is_draining
+    assert by_name['restarted'].started_ms == 2
+    assert harness.names == {'draining', 'restarted', 'other'}
+    harness.clock.advance(restore_hold.HOLD_MS)
+    harness.catalog.on_target_changes([deleted_row('draining')])
+    harness.catalog.expire_holds()
+    assert harness.names == {'removed', 'restarted', 'other'}
+
+
+def test_target_that_returns_after_a_restore_is_used_at_once() -> None:
+    """Guards against a live target that waits for the end of the hold."""
+    harness = _CatalogHarness()
+    harness.catalog.on_target_snapshot([target_row('t1')])
+    harness.catalog.on_target_changes([deleted_row('t1')])
+    harness.catalog.on_store_restored()
+    harness.catalog.on_target_snapshot([target_row('t1')])
+    assert harness.names == set()
+    harness.catalog.on_target_changes([target_row('t1', 2)])
+    assert harness.names == {'t1'}
+
+
+def test_target_that_the_copy_lacks_is_kept_for_some_time() -> None:
+    """Guards against the loss of targets that started after the copy."""
+    harness = _CatalogHarness()
+    harness.catalog.on_target_snapshot([target_row('t1')])
+    harness.catalog.on_store_restored()
+    harness.catalog.on_peer_follow_time(3_600_000)
+    harness.catalog.on_target_snapshot([])
+    harness.catalog.expire_holds()
+    assert harness.names == {'t1'}
+    harness.clock.advance(catalogs.RECOVERY_GRACE_MS)
+    harness.catalog.expire_holds()
+    assert harness.names == set()
+
+
+@pytest.mark.parametrize('is_ended', [True, False])
+def test_evacuation_outlasts_a_restore(is_ended: bool) -> None:
+    """Guards against requests to a domain whose evacuation the copy lacks."""
+    harness = _CatalogHarness()
+    key = 'evacuate/a'
+    harness.catalog.on_operator_changes([stores.StoredRow(key, b'{}', 1)])
+    harness.catalog.on_store_restored()
+    harness.catalog.on_operator_snapshot([])
+    assert harness.targets.evacuated_domains == frozenset({'a'})
+    if is_ended:
+        harness.catalog.on_operator_changes([deleted_row(key)])
+        assert harness.targets.evacuated_domains == frozenset()
+    harness.clock.advance(restore_hold.HOLD_MS)
+    harness.catalog.expire_holds()
+    assert harness.targets.evacuated_domains == frozenset()
+
+
+def test_configuration_outlasts_a_restore() -> None:
+    """Guards against an older configuration in force after a restore."""
+    harness = _CatalogHarness()
+    harness.catalog.on_operator_snapshot([config_row(7)])
+    harness.catalog.on_store_restored()
+    harness.catalog.on_operator_snapshot([config_row(5)])
+    harness.catalog.on_operator_changes([config_row(8)])
+    assert [config.version for config in harness.configs] == [7, 8]
--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -24,6 +24,7 @@
         self.snapshots: list[list[str]] = []
         self.changes: list[tuple[str, bool]] = []
         self.outages_ms: list[int] = []
+        self.restores: list[int] = []
         self.peer_rows: row_share.SharedRows | None = None
         self.peer_calls: list[int] = []
         self.peer_grace_ms: list[int] = []
@@ -36,6 +37,7 @@
                 (row.key, row.is_deleted) for row in rows
             ),
             self.outages_ms.append,
+            lambda: self.restores.append(len(self.snapshots)),
             self.peer_grace_ms.append,
             lambda: self.is_reader,
             lambda: 7,
@@ -308,3 +310,26 @@
         assert not harness.follower.is_connected
 
     anyio.run(scenario)
+
+
+def test_changes_after_a_restore_are_announced_and_fetched() -> None:
+    """Guards against versions of two histories that count as the same."""
+
+    async def scenario() -> None:
+        harness = _FollowerHarness()
+        rows = harness.store.rows
+        rows.put('op', 'a', {})
+        copy = rows.copy()
+        rows.put('op', 'lost', {})
+        await harness.run_for()
+        version = harness.follower.cache.change_version
+        rows.restore(copy)
+        rows.put('op', 'b', {})
+        await harness.run_for()
+        assert harness.snapshots == [['a', 'lost'], ['a', 'b']]
+        assert harness.restores == [1]
+        assert harness.follower.cache.change_version > version
+        delta = harness.follower.cache.select_after(version, 0)
+        assert delta.is_whole
+
+    anyio.run(scenario)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -102,3 +102,41 @@
         assert isinstance(unreachable, interface.Unavailable)
 
     anyio.run(scenario)
+
+
+def test_versions_rise_when_the_store_is_restored() -> None:
+    """Guards against changes of a lost history that count as known."""
+
+    async def scenario() -> None:
+        async with client_and_store() as (client, rows):
+            rows.put('t', 'a', b'1')
+            copy = rows.copy()
+            lost = await client.put_row('t', 'lost', b'2')
+            assert isinstance(lost, int)
+            rows.restore(copy)
+            assert rows.put('t', 'b', b'3') == lost
+            assert await client.follow('t', lost, 20) == stores.HistoryGone()
+            batch = await client.list_rows('t')
+            assert isinstance(batch, stores.RowBatch)
+            assert [row.key for row in batch.rows] == ['a', 'b']
+            assert all(row.version > lost for row in batch.rows)
+            rows.put('t', 'c', b'4')
+            changes = await client.follow('t', batch.version, 20)
+            assert isinstance(changes, stores.RowBatch)
+            assert [row.key for row in changes.rows] == ['c']
+
+    anyio.run(scenario)
+
+
+def test_response_of_an_earlier_era_is_discarded() -> None:
+    """Guards against rows that go back to those of a lost history."""
+
+    async def scenario() -> None:
+        async with client_and_store() as (client, rows):
+            rows.era = 2
+            assert isinstance(await client.list_rows('t'), stores.RowBatch)
+            rows.era = 1
+            result = await client.list_rows('t')
+            assert isinstance(result, interface.Unavailable)
+
+    anyio.run(scenario)
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -7,6 +7,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
+from wigeonhatch.entry import restore_hold
 from wigeonhatch.platform import decode
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
@@ -53,6 +54,7 @@
         self._grace_end_ms = 0
         self._down_since_ms = 0
         self._missing_targets: set[str] = set()
+        self._hold = restore_hold.RestoreHold(clock)
 
     def on_operator_snapshot(self, rows: Rows) -> None:
         """Replace the state of the operators' table."""
@@ -64,24 +66,32 @@
         for row in rows:
             if row.is_deleted:
                 self._operator_keys.discard(row.key)
+                self._hold.on_operator_removal(row.key)
                 continue
             self._operator_keys.add(row.key)
             if row.key == names.CONFIG_KEY:
                 self._apply_config(row)
-        self._targets.set_evacuated_domains(
-            decode.read_evacuated_domains(self._operator_keys)
-        )
+        self._apply_evacuations()
         self._on_targets()
 
     def on_target_snapshot(self, rows: Rows) -> None:
         """Replace the state of the targets' table."""
-        records = list(self._decode_targets(rows))
+        records = list(
+            self._hold.filter_snapshot(
+                self._decode_targets(rows), self._targets.record_by_name
+            )
+        )
+        self._hold.on_left(record for record in records if record.is_draining)
         listed = {record.name for record in records}
         missing = self._targets.record_by_name.keys() - listed
+        missing_records = [
+            self._targets.record_by_name[name] for name in missing
+        ]
         if self._is_in_grace():
-            retained = [self._targets.record_by_name[name] for name in missing]
             self._missing_targets = set(missing)
-            records.extend(retained)
+            records.extend(missing_records)
+        elif not self._hold.is_active:
+            self._hold.on_left(missing_records)
         self._targets.replace(records)
         self._on_targets()
 
@@ -91,6 +101,7 @@
         removed = {row.key for row in rows if row.is_deleted}
         changed = [row for row in rows if not row.is_deleted]
         records = list(self._decode_targets(changed))
+        self._hold.on_target_changes(records, removed)
         listed = {record.name for record in records}
         unusable = {row.key for row in changed} - listed
         removed -= listed
@@ -98,6 +109,10 @@
         if self._is_in_grace():
             self._missing_targets |= removed
             removed = set()
+        self._hold.on_left(
+            self._targets.record_by_name[name]
+            for name in removed & self._targets.record_by_name.keys()
+        )
         self._targets.update(records, removed | unusable)
         self._on_targets()
 
@@ -111,6 +126,14 @@
             self._down_since_ms = self._clock.now_ms - outage_ms
             self._grace_end_ms = self._clock.now_ms + RECOVERY_GRACE_MS
 
+    def on_store_restored(self) -> None:
+        """Keep what the store may have lost when it was restored from a copy.
+
+        Configurations need no hold, as older ones are never applied.
+        """
+        self._hold.begin(self._operator_keys)
+        self.extend_grace(RECOVERY_GRACE_MS)
+
     def on_peer_follow_time(self, followed_ms: int) -> None:
         """End the grace period if only this host had lost the store.
 
@@ -122,6 +145,8 @@
                 without a failed call.
         """
         now_ms = self._clock.now_ms
+        if self._hold.is_active:
+            return
         if self._is_in_grace() and now_ms - followed_ms <= self._down_since_ms:
             log.event(_LOG, 'outage was local', peer_followed_ms=followed_ms)
             self._grace_end_ms = now_ms
@@ -142,6 +167,14 @@
             self._grace_end_ms, self._clock.now_ms + grace_left_ms
         )
 
+    def expire_holds(self) -> None:
+        """Give up what is kept after an outage or a restore of the store."""
+        self.remove_missing_targets()
+        if self._hold.has_expired:
+            self._targets.update(self._hold.end(), ())
+            self._apply_evacuations()
+            self._on_targets()
+
     def remove_missing_targets(self) -> None:
         """Remove targets that are still missing after the grace period."""
         if self._missing_targets and not self._is_in_grace():
@@ -153,6 +186,13 @@
     def _is_in_grace(self) -> bool:
         return self._clock.now_ms < self._grace_end_ms
 
+    def _apply_evacuations(self) -> None:
+        self._targets.set_evacuated_domains(
+            decode.read_evacuated_domains(
+                self._operator_keys | self._hold.operator_keys
+            )
+        )
+
     def _apply_config(self, row: stores.StoredRow) -> None:
         try:
             config = decode.read_config(row.value)
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -298,7 +298,7 @@
     async def _run_adjustments(self) -> None:
         while True:
             await self._clock.sleep_ms(region_split.ADJUST_INTERVAL_MS)
-            self._catalog.remove_missing_targets()
+            self._catalog.expire_holds()
             self._picker.adjust_splits(self._fleet.peers.region_by_host())
 
     def _on_config(self, config: model.RoutingConfig) -> None:
--- a/wigeonhatch/entry/store_follower.py
+++ b/wigeonhatch/entry/store_follower.py
@@ -54,6 +54,7 @@
                 on_snapshot,
                 on_changes,
                 catalog.on_store_recovered,
+                catalog.on_store_restored,
                 catalog.extend_grace,
                 lambda: fleet.is_reader,
                 fleet.count_domains,
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -14,6 +14,7 @@
 from wigeonhatch.peers import row_share
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
+from wigeonhatch.platform import store_version
 
 FLEET_POLL_INTERVAL_MS = 400
 """Interval at which a long poll of some reader ends. The first host that
@@ -60,6 +61,8 @@
         on_changes: Called with changed and deleted rows, in order.
         on_recovered: Called after an outage, before the rows are delivered,
             with the length of the outage in ms.
+        on_restored: Called before the first rows of a store that was restored
+            from a copy are delivered.
         on_peer_grace: Called before rows of a peer are delivered, with the
             rest of the peer's grace period for missing rows in ms.
         is_reader: Returns whether this host follows the store itself.
@@ -78,6 +81,7 @@
         on_snapshot: OnRows,
         on_changes: OnRows,
         on_recovered: collections.abc.Callable[[int], None],
+        on_restored: collections.abc.Callable[[], None],
         on_peer_grace: collections.abc.Callable[[int], None],
         is_reader: collections.abc.Callable[[], bool],
         count_readers: collections.abc.Callable[[], int],
@@ -93,6 +97,7 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_recovered = on_recovered
+        self._on_restored = on_restored
         self._on_peer_grace = on_peer_grace
         self._is_reader = is_reader
         self._count_readers = count_readers
@@ -107,6 +112,7 @@
         self._call: anyio.CancelScope | None = None
         self._peer_change = anyio.Event()
         self._peer_version = 0
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -245,6 +251,10 @@
         return True
 
     def _apply_snapshot(self, rows: Rows, version: int) -> None:
+        era = store_version.era_of(version)
+        if self._era is not None and era > self._era:
+            self._on_restored()
+        self._era = era
         self.cache.replace(rows, version)
         self._on_snapshot(rows)
 
--- a/wigeonhatch/platform/_reply.py
+++ b/wigeonhatch/platform/_reply.py
@@ -30,29 +30,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Status and body of an HTTP response, and the era of the store."""
+    """Status and body of an HTTP response."""
 
     status: int
     body: bytes
-    era: int = 0
 
 
 def read_era(
     headers: collections.abc.Iterable[tuple[bytes, bytes]],
-) -> int:
+) -> int | None:
     """Read the era of the store from the header fields of a response.
 
     Args:
         headers: Pairs of a name and a value.
 
     Returns:
-        Number of times that the store was restored from a copy; 0 if the
-        field is missing or malformed.
+        Number that rises each time that the store is restored from a copy;
+        None if the field is missing or malformed.
     """
     for name, value in headers:
         if name.lower() == names.STORE_ERA and value.isdigit():
             return int(value)
-    return 0
+    return None
 
 
 def decode(
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -15,6 +15,7 @@
 from wigeonhatch import sockets
 from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
+from wigeonhatch.platform import store_version
 
 CALL_TIMEOUT_MS = 1_500
 """Timeout of one call; a slow store responds within about 400 ms."""
@@ -83,13 +84,16 @@
 class StoreClient:
     """Read and write tables of the platform's store.
 
+    Versions are combined with the era, see `store_version`. `era` is the
+    newest one that a response had.
+
     Args:
         address: `IP:PORT` of the store.
     """
 
     def __init__(self, address: str) -> None:
         self._base_url = f'http://{address}'
-        self._era = 0
+        self.era = 0
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=10,
@@ -110,7 +114,8 @@
             Rows and the version of the first page; later pages may be newer.
         """
         rows: list[StoredRow] = []
-        version = 0
+        version: int | None = None
+        era = 0
         first_key = ''
         while True:
             query = {'table': table, 'part': '', 'limit': _PAGE_ROWS}
@@ -120,8 +125,12 @@
             page = _reply.decode(reply, _WireRows)
             if isinstance(page, interface.Unavailable):
                 return page
-            rows.extend(_decode_rows(page.rows))
-            version = version or page.ver
+            if version is None:
+                era = self.era
+                version = store_version.combine(era, page.ver)
+            if self.era != era:
+                return interface.Unavailable('the store was restored')
+            rows.extend(_decode_rows(page.rows, era))
             if not page.has_more or not page.rows:
                 return RowBatch(tuple(rows), version)
             first_key = page.rows[-1].key + '\0'
@@ -139,16 +148,28 @@
         Returns:
             Changed rows in order of version; none if the wait timed out.
         """
-        query = {'table': table, 'after': after, 'wait_ms': wait_ms}
+        query = {
+            'table': table,
+            'after': store_version.number_of(after),
+            'wait_ms': wait_ms,
+        }
         reply = await self._call(
             'GET', 'rows-feed', query, wait_ms + _LONG_POLL_MARGIN_MS
         )
         if isinstance(reply, _reply.Reply) and reply.status == _STATUS_GONE:
             return HistoryGone()
+        era = self.era
         page = _reply.decode(reply, _WireRows)
         if isinstance(page, interface.Unavailable):
             return page
-        return RowBatch(tuple(_decode_rows(page.rows)), page.ver)
+        if era > store_version.era_of(after):
+            return HistoryGone()
+        if era < store_version.era_of(after):
+            return interface.Unavailable('response of an earlier era')
+        return RowBatch(
+            tuple(_decode_rows(page.rows, era)),
+            store_version.combine(era, page.ver),
+        )
 
     async def put_row(
         self, table: str, key: str, value: bytes
@@ -197,7 +218,7 @@
         return (
             version
             if isinstance(version, interface.Unavailable)
-            else version.ver
+            else store_version.combine(self.era, version.ver)
         )
 
     async def _close_idle(self) -> None:
@@ -238,20 +259,19 @@
             await self._close_idle()
             return interface.Unknown(type(error).__name__)
         era = _reply.read_era(response.headers)
-        self._on_era(era)
-        return _reply.Reply(response.status, response.content, era)
-
-    def _on_era(self, era: int) -> None:
-        if era != self._era:
-            log.event(_LOG, 'store era changed', era=era, previous=self._era)
-            self._era = era
+        if era is not None and era < self.era:
+            return interface.Unknown('response of an earlier era')
+        if era is not None and era > self.era:
+            log.event(_LOG, 'store era changed', era=era, previous=self.era)
+            self.era = era
+        return _reply.Reply(response.status, response.content)
 
 
 _JSON_HEADER = (b'Content-Type', b'application/json')
 
 
 def _decode_rows(
-    rows: collections.abc.Iterable[_WireRow],
+    rows: collections.abc.Iterable[_WireRow], era: int
 ) -> collections.abc.Iterator[StoredRow]:
     for row in rows:
         try:
@@ -259,4 +279,5 @@
         except ValueError:
             # Decoding the empty value reports the row as malformed.
             value = b''
-        yield StoredRow(row.key, value, row.ver, row.deleted)
+        version = store_version.combine(era, row.ver)
+        yield StoredRow(row.key, value, version, row.deleted)
