Register a host again when a restored store has lost its row

Found while looking for other effects of a restore: what hosts wrote since the copy is gone. A host registered once, at its start, so that hosts that start later do not find it on the list and hear of it only through others.

Each reading of the list now registers the host if its row is missing, and a change of the era makes hosts that are no readers read the list early. A host that leaves does not register any more.

--- a/tests/entry/fake_store.py
+++ b/tests/entry/fake_store.py
@@ -43,6 +43,15 @@
         """Write one row."""
         return self.rows.put(table, key, value)
 
+    async def remove_row(self, table: str, key: str) -> int:
+        """Delete one row."""
+        return self.rows.remove(table, key)
+
+    @property
+    def era(self) -> int:
+        """Era of the store."""
+        return self.rows.era
+
     async def follow(
         self, table: str, after: int, wait_ms: int
     ) -> stores.RowBatch | stores.HistoryGone | interface.Unavailable:
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -17,6 +17,7 @@
 from wigeonhatch.peers import readers
 from wigeonhatch.peers import row_share
 from wigeonhatch.peers import state_link
+from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
 from wigeonhatch.standins import row_store
 
@@ -245,3 +246,31 @@
         )
 
     anyio.run(scenario)
+
+
+def test_host_registers_again_after_a_restore_of_the_store() -> None:
+    """Guards against a host that others cannot find, as its row was lost."""
+
+    async def scenario() -> None:
+        harness = _FleetHarness()
+        rows = row_store.RowStore()
+        store = fake_store.FakeStore(rows)
+        harness.fleet._store = typing.cast(typing.Any, store)
+        copy = rows.copy()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.fleet.join)
+            while store.list_calls < 1:
+                await anyio.sleep(0)
+            rows.restore(copy)
+            with anyio.fail_after(5):
+                while not rows.rows(names.HOST_TABLE):
+                    await anyio.sleep(0)
+            rows.restore(copy)
+            await harness.fleet.leave()
+            calls = store.list_calls
+            while store.list_calls < calls + 2:
+                await anyio.sleep(0)
+            tasks.cancel_scope.cancel()
+        assert rows.rows(names.HOST_TABLE) == []
+
+    anyio.run(scenario)
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -75,6 +75,7 @@
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._send_count = 0
+        self._is_leaving = False
         self._link = state_link.StateLink(self._on_state)
 
     async def open(self) -> None:
@@ -98,7 +99,7 @@
 
     async def _register(self) -> None:
         row = rosters.encode_entry(self._settings.ip, self._incarnation)
-        while True:
+        while not self._is_leaving:
             result = await self._store.put_row(
                 names.HOST_TABLE, self._settings.host, row
             )
@@ -110,6 +111,7 @@
 
     async def leave(self) -> None:
         """Announce the stop to the peers and deregister this host."""
+        self._is_leaving = True
         for _ in range(_STOP_DATAGRAMS):
             self._send(self.roster.ip_by_host.keys())
         result = await self._store.remove_row(
@@ -162,6 +164,7 @@
         """
         await self._register()
         while True:
+            era = self._store.era
             is_list_read = await self._read_host_list()
             interval_ms = _READER_LIST_INTERVAL_MS
             if not is_list_read:
@@ -174,6 +177,7 @@
                 is_list_read
                 and self.roster.ip_by_host
                 and not self.is_reader
+                and era == self._store.era
                 and elapsed_ms < _NON_READER_LIST_INTERVAL_MS
             ):
                 await self._clock.sleep_ms(_READER_LIST_INTERVAL_MS)
@@ -191,8 +195,11 @@
                 log.event(
                     _LOG, 'host entry unusable', host=row.key, reason=error
                 )
-        hosts = {row.key for row in batch.rows} | self.live_hosts()
-        self.roster.retain(hosts)
+        listed = {row.key for row in batch.rows}
+        self.roster.retain(listed | self.live_hosts())
+        if self._settings.host not in listed:
+            # A store that was restored from a copy may have lost the row.
+            await self._register()
         return True
 
     async def fetch_from_peer(
