Divide the saved retries by the hosts of the moment

Found while looking for bounds that are kept by each host alone: the retries that a host may save up were its part of the slack by the number of hosts that it knew when the first request of a service came. Hosts that join later got theirs in addition, and a host that started before it knew the others kept a part that was too large for good.

The part is computed from the present number of hosts. It is at least one, so that beyond the slack (32 hosts at 64 and half of it used) the sum still grows with the hosts; at 60 hosts it is 60 of 64 allowed.

--- a/tests/requests/test_endless_response.py
+++ b/tests/requests/test_endless_response.py
@@ -114,7 +114,7 @@
             self.scene.rates,
             self.scene.targets,
             self.client,
-            lambda: retry.RetryBudget(0, 1),
+            lambda: retry.RetryBudget(0, lambda: 1),
             CLOCK,
         )
 
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -103,7 +103,7 @@
             self.scene.rates,
             self.scene.targets,
             typing.cast(typing.Any, self.client),
-            lambda: retry.RetryBudget(0, retries),
+            lambda: retry.RetryBudget(0, lambda: retries),
             self.scene.clock,
         )
 
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -335,15 +335,19 @@
         )
 
     def _build_retry_budget(self) -> retry.RetryBudget:
-        bounds = self._settings.bounds
+        ratio = self._settings.bounds.retry_ratio
+        return retry.RetryBudget(
+            int(ratio * RETRY_FRACTION * 100), self._count_burst_retries
+        )
+
+    def _count_burst_retries(self) -> int:
+        """Share of this host in the retries that all hosts may save up."""
         host_count = max(
             len(self._settings.region_by_domain),
             len(self._fleet.roster.ip_by_host) + 1,
         )
-        return retry.RetryBudget(
-            int(bounds.retry_ratio * RETRY_FRACTION * 100),
-            max(1, int(bounds.retry_slack * RETRY_FRACTION / host_count)),
-        )
+        slack = self._settings.bounds.retry_slack * RETRY_FRACTION
+        return max(1, int(slack / host_count))
 
     def _find_target_region(self, name: str) -> str:
         record = self._targets.record_by_name.get(name)
--- a/wigeonhatch/requests/retry.py
+++ b/wigeonhatch/requests/retry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+
 from wigeonhatch import codes
 from wigeonhatch import outcome
 
@@ -31,20 +33,24 @@
 
     Args:
         percent: Retries per 100 requests.
-        burst: Capacity of the bucket in retries; it starts full.
+        burst: Returns the capacity of the bucket in retries, which may change;
+            the bucket starts full.
     """
 
     def __init__(
-        self, percent: int = RETRY_PERCENT, burst: int = _BURST_RETRIES
+        self,
+        percent: int = RETRY_PERCENT,
+        burst: collections.abc.Callable[[], int] = lambda: _BURST_RETRIES,
     ) -> None:
         # Counted in hundredths of a retry, to avoid rounding.
         self._percent = percent
-        self._capacity = burst * _TOKEN_UNITS
-        self._tokens = self._capacity
+        self._burst = burst
+        self._tokens = burst() * _TOKEN_UNITS
 
     def on_request(self) -> None:
         """Add the fraction that one request of the service earns."""
-        self._tokens = min(self._capacity, self._tokens + self._percent)
+        capacity = self._burst() * _TOKEN_UNITS
+        self._tokens = min(capacity, self._tokens + self._percent)
 
     @property
     def has_token(self) -> bool:
