--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -254,6 +254,23 @@
             target.lift_rate_limit()
 
 
+async def restore_store(
+    fleet: fleets.Fleet, rng: random.Random, seconds: float
+) -> None:
+    """Restore the store from older copies for some time."""
+    store = fleet.application.store
+    end_ms = fleet.clock.now_ms + seconds * 1_000
+    while fleet.clock.now_ms < end_ms:
+        await asyncio.sleep(rng.uniform(0.0, 4.0))
+        copy = store.copy()
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
+        store.restore(copy)
+        now_ms = fleet.clock.now_ms
+        fleet.disturb((ledgers.STORE,), now_ms, now_ms)
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+        await fleet.write_again()
+
+
 PLANNED: tuple[Event, ...] = (
     stop_host,
     stop_hosts_in_turn,
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -71,6 +71,7 @@
         self.rng = rng
         self.hosts = [Host(number, folder) for number in range(hosts)]
         self.targets: list[targets.Target] = []
+        self.registered_by_name: dict[str, targets.Target] = {}
         self.application = row_store.RowStoreApplication(row_store.RowStore())
         self.version = 0
         self.written_ms_by_version: dict[int, int] = {}
@@ -274,6 +275,7 @@
 
     def register(self, target: targets.Target) -> None:
         """Write the row of a target to the store."""
+        self.registered_by_name[target.name] = target
         age_ms = self.clock.now_ms - target.started_ms
         is_cold = target.name in self.ledger.warmup_end_ms_by_target
         remaining_ms = max(0, bounds.WARMUP_MS - age_ms) if is_cold else 0
@@ -299,11 +301,31 @@
 
     def unregister(self, target: targets.Target) -> None:
         """Remove the row of a target from the store."""
+        self.registered_by_name.pop(target.name, None)
         self.application.store.remove('servers', target.name)
         self.ledger.leaving_ms_by_target.setdefault(
             target.name, self.clock.now_ms
         )
 
+    async def write_again(self) -> None:
+        """Write what a restored store has lost, as operators and targets do.
+
+        Rows of targets that have left expire later.
+        """
+        store = self.application.store
+        self.write_configuration()
+        for domain in REGION_BY_DOMAIN:
+            if domain in self.evacuated_domains:
+                store.put('op', f'evacuate/{domain}', {})
+            else:
+                store.remove('op', f'evacuate/{domain}')
+        for target in self.registered_by_name.values():
+            self.register(target)
+        await asyncio.sleep(3 * HEARTBEAT_MS / 1_000)
+        for row in store.rows('servers'):
+            if row['key'] not in self.registered_by_name:
+                store.remove('servers', row['key'])
+
     def evacuate(self, domain: str) -> None:
         """Start the evacuation of a domain."""
         self.application.store.put('op', f'evacuate/{domain}', {})
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -65,7 +65,11 @@
 
 
 async def _run_events(
-    fleet: fleets.Fleet, rng: random.Random, seconds: float, planned_only: bool
+    fleet: fleets.Fleet,
+    rng: random.Random,
+    seconds: float,
+    planned_only: bool,
+    restore_seed: str,
 ) -> list[str]:
     """Start overlapping random events and wait until all have ended."""
     kinds = (
@@ -74,6 +78,11 @@
     event_names = []
     end_ms = fleet.clock.now_ms + seconds * 1_000
     async with asyncio.TaskGroup() as tasks:
+        if not planned_only:
+            restore_rng = random.Random(restore_seed)
+            tasks.create_task(
+                events.restore_store(fleet, restore_rng, seconds)
+            )
         while fleet.clock.now_ms < end_ms:
             event = rng.choice(kinds)
             event_names.append(event.__name__)
@@ -124,7 +133,9 @@
         tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
         await asyncio.sleep(bounds.CONVERGENCE_MS / 2_000)
         planned_only = seed % _PLANNED_ONLY_INTERVAL == 0
-        event_names = await _run_events(fleet, rng, seconds, planned_only)
+        event_names = await _run_events(
+            fleet, rng, seconds, planned_only, f'{seed}/restores'
+        )
         if not planned_only and rng.random() < 0.5:
             event_names.append('kill_all')
             for host in fleet.hosts:
