Report the time of a limit itself, not of the response after it

A host that had received a response without the limit, too early to end it, reported the limit with the time of that response. Peers took it for a new statement and reported it back, so that with responses more often than each 0.5 s on several hosts a limit never ended.

The report has the time of the newest response with the limit until the limit has ended. The test of the end fails at 30 requests a second without the change and passes with it at 0.4, 1.1 and 30.

--- a/tests/balance/test_rate_budget.py
+++ b/tests/balance/test_rate_budget.py
@@ -269,9 +269,10 @@
     assert sent >= MIN_USE * rate_per_s
 
 
-def test_limit_ends_with_the_statement() -> None:
-    """Guards against hosts that keep a limit for ever."""
-    simulation = _Simulation(7, 1.1, seed=1)
+@pytest.mark.parametrize('rate_per_s', [0.4, 1.1, 30.0])
+def test_limit_ends_with_the_statement(rate_per_s: float) -> None:
+    """Guards against hosts that renew an ended limit by their reports."""
+    simulation = _Simulation(7, rate_per_s, seed=1)
 
     def lift(simulation: _Simulation, now_ms: int) -> None:
         if now_ms >= 8_000:
--- a/wigeonhatch/balance/rate_limits.py
+++ b/wigeonhatch/balance/rate_limits.py
@@ -40,7 +40,8 @@
         started_ms: Start of the target, ms since the Unix epoch.
         rate_per_s: Requests per second from all hosts; None if its newest
             response had no limit.
-        age_ms: Time since the response arrived in ms.
+        age_ms: Time since the newest response with the limit arrived, or the
+            newest one without, in ms.
     """
 
     target: str
@@ -63,6 +64,11 @@
         """Time of the newest response."""
         return max(self.stated_ms, self.ended_ms or self.stated_ms)
 
+    @property
+    def decisive_ms(self) -> int:
+        """Time of the newest response with the limit, or after its end."""
+        return self.newest_ms if self.has_ended else self.stated_ms
+
     @property
     def has_ended(self) -> bool:
         """Whether the target no longer states a limit."""
@@ -133,7 +139,7 @@
             RateStatement(
                 *key,
                 None if known.has_ended else known.rate_per_s,
-                now_ms - known.newest_ms,
+                now_ms - known.decisive_ms,
             )
             for key, known in self._known_by_key.items()
             if _is_reported(known, now_ms)
