--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -6,13 +6,11 @@
 import collections.abc
 import dataclasses
 import functools
-import logging
 
 import anyio
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
-from wigeonhatch import log
 from wigeonhatch import outcome
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import inactivity
@@ -22,6 +20,7 @@
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import warmup
 from wigeonhatch.platform import messages
+from wigeonhatch.requests import _attempt_log
 from wigeonhatch.requests import _exchange
 from wigeonhatch.requests import _query
 from wigeonhatch.requests import body as bodies
@@ -32,8 +31,6 @@
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import registry
 
-_LOG = logging.getLogger(__name__)
-
 MIN_ATTEMPT_MS = 20
 """No attempt starts with less time left; a round trip takes up to 90 ms."""
 INACTIVITY_FACTOR = 4.0
@@ -207,27 +204,15 @@
                 ran_override=codes.Ran.UNKNOWN,
             )
         self._update_target_health(request, pick, result, load, elapsed_ms)
-        log.event(
-            _LOG,
-            'attempt',
-            request_id=request.id_text,
-            target=name,
-            region=self._picker.region_of(target.domain),
-            split_region=pick.split_region,
-            affinity=request.affinity_key.decode('ascii', 'replace'),
-            load=load,
-            wait_ms=round(pick.wait_ms),
-            home=pick.is_home,
-            slots=target.slots,
-            cold=is_cold,
-            rate_limit=history.rate_limit_per_s,
-            left_ms=request.deadline_ms - started_ms,
-            took_ms=elapsed_ms,
-            result=(
-                result.status
-                if isinstance(result, relay_model.Response)
-                else f'{result.code.name}: {result.detail}'
-            ),
+        _attempt_log.log_attempt(
+            request,
+            history,
+            pick,
+            self._picker.region_of(target.domain),
+            result,
+            _attempt_log.AttemptTimes(started_ms, elapsed_ms),
+            load,
+            is_cold,
         )
         return self._record_result(request, result, history)
 
