--- a/wigeonhatch/requests/_attempt_log.py
+++ b/wigeonhatch/requests/_attempt_log.py
@@ -8,6 +8,7 @@
 from wigeonhatch import log
 from wigeonhatch import outcome
 from wigeonhatch.balance import picker as pickers
+from wigeonhatch.requests import fingerprint
 from wigeonhatch.requests import relay_model
 
 _LOG = logging.getLogger(__name__)
@@ -53,6 +54,7 @@
         _LOG,
         'attempt',
         request_id=request.id_text,
+        fingerprint=fingerprint.format_fingerprint(history.fingerprint),
         target=target.name,
         region=region,
         split_region=pick.split_region,
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -101,7 +101,7 @@
             body: Body of the request.
             control: Cancels the attempt when the caller disconnects.
         """
-        history = relay_model.AttemptHistory()
+        history = relay_model.AttemptHistory(request.compute_fingerprint(body))
         self._budget_by_service[request.service].on_request()
         while True:
             if control.cause is not None:
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -6,9 +6,13 @@
 
 from wigeonhatch import outcome
 from wigeonhatch.platform import messages
+from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import fingerprint
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.routes import model as routes
 
+_CREDENTIAL = b'authorization'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayRequest:
@@ -45,6 +49,27 @@
         """Request ID as text, for the log and refusals."""
         return self.request_id.decode('ascii', 'replace')
 
+    def compute_fingerprint(self, body: bodies.RequestBody) -> int:
+        """Hash what repeats of the request have in common, at any host.
+
+        The address of the caller is not part of it, since callers may use
+        several.
+
+        Args:
+            body: Body of the request; only its length counts if it is too
+                large to be buffered.
+        """
+        return fingerprint.compute_fingerprint(
+            (
+                self.method.encode(),
+                self.host_name,
+                self.path,
+                self.affinity_key,
+                fields.find(self.headers, _CREDENTIAL) or b'',
+                body.content if body.is_small else b'%d' % body.length,
+            )
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
@@ -78,8 +103,13 @@
 
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
-    """Results of the previous attempts of one request."""
+    """Results of the previous attempts of one request.
+
+    Args:
+        fingerprint: Identifies repeats of the request.
+    """
 
+    fingerprint: int = 0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
     connect_failures: int = 0
