Reproduce a request that crashes target after target

Seven daemons, targets that crash 15 ms after they begin a request below /deadly/, and a caller that sends the same request to random hosts. Fails for requests that may be repeated and for those that may not: later than 4 s after the third crash, the request reaches targets more than three times (12 and more in 10 s).

--- a/tests/faults/bounds.py
+++ b/tests/faults/bounds.py
@@ -34,6 +34,10 @@
 informed hosts: rate * factor * window + slack."""
 RATE_NOTICE_MS = 500
 """Time from the response that informs a host until its requests count."""
+FREE_CRASHES = 3
+MAX_LATE_SENDS = 3
+"""Maximum sends of a request, later than the convergence time after it has
+crashed `FREE_CRASHES` targets."""
 LOOKUP_LAG_MS = 3_000
 """Time beyond convergence after which lookups must omit a killed host."""
 MAX_LOST = 3
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -27,6 +27,8 @@
 KIND_BY_SERVICE = dict(zip(SERVICES, ('read', 'write', 'photo')))
 _ROUTE_TYPES = dict(zip(SERVICES, ('idempotent', 'non_idempotent', 'upload')))
 HEARTBEAT_MS = 1_500
+RESTART_MS = 3_000
+"""Time from a crash by a request to the start of the next incarnation."""
 _BACKOFF_MS = 200
 _CLOCK_OFFSETS_MS = (0, 0, -6_000, 6_000, -3_600_000, 3_600_000)
 """Wall clock offsets; each start of a daemon uses a random one."""
@@ -78,6 +80,7 @@
         self.evacuated_domains: set[str] = set()
         self._ports: dict[str, int] = {}
         self._target_count = 0
+        self._restarts: set[asyncio.Task[None]] = set()
         self._server: uvicorn.Server | None = None
 
     async def start(self, targets_per_service: int) -> None:
@@ -108,6 +111,8 @@
 
     def stop(self) -> None:
         """Stop all processes and stand-ins."""
+        for task in self._restarts:
+            task.cancel()
         for host in self.hosts:
             host.is_enabled = False
             if host.process is not None and host.process.poll() is None:
@@ -263,6 +268,7 @@
             self.ledger,
             self.clock,
             self.rng,
+            self._on_crash,
         )
         await target.open()
         self.targets.append(target)
@@ -273,6 +279,23 @@
         self.register(target)
         return target
 
+    def _on_crash(self, target: targets.Target) -> None:
+        """Replace a target that a request has crashed, after some time."""
+        if target not in self.targets:
+            return
+        self.targets.remove(target)
+        now_ms = self.clock.now_ms
+        self.disturb((target.name,), now_ms, now_ms + RESTART_MS)
+        task = asyncio.ensure_future(self._replace(target))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _replace(self, target: targets.Target) -> None:
+        await asyncio.sleep(RESTART_MS / 1_000)
+        self.unregister(target)
+        await target.proxy.open()
+        await self.add_target(target.service, target.domain, target.proxy)
+
     def register(self, target: targets.Target) -> None:
         """Write the row of a target to the store."""
         self.registered_by_name[target.name] = target
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -9,6 +9,7 @@
 import hashlib
 
 from tests.faults import bounds
+from tests.faults import crash_rule
 from tests.faults import rate_rule
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -152,6 +153,7 @@
         self.evacuated_ms_by_target: dict[str, int] = {}
         self.warmup_end_ms_by_target: dict[str, int] = {}
         self.rate_rule = rate_rule.RateRule()
+        self.crash_rule = crash_rule.CrashRule()
         self._arrivals: dict[str, list[tuple[int, str]]] = (
             collections.defaultdict(list)
         )
@@ -184,6 +186,12 @@
             if violation:
                 self.fail('rate', violation)
         has_converged = self.disturbances.has_converged(request.host, now_ms)
+        if has_converged:
+            violation = self.crash_rule.on_arrival(request.content, now_ms)
+            if violation:
+                self.fail(
+                    'crash', f'{request_id} by {request.host}: {violation}'
+                )
         for rule, limit_ms, since_by_target in (
             ('drain', bounds.DRAIN_MS, self.leaving_ms_by_target),
             ('evacuate', bounds.EVACUATE_MS, self.evacuated_ms_by_target),
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import random
 
+from tests.faults import crash_rule
 from tests.faults import ledger as ledgers
 from tests.faults import proxy as proxies
 from wigeonhatch import clock as clocks
@@ -14,6 +16,8 @@
 SLOTS = 4
 MAX_QUEUED = 8
 SERVICE_MS = 30
+CRASH_DELAY_MS = 15
+"""Time from the start of a deadly request to the crash of the target."""
 IDLE_TIMEOUT_S = 3.0
 """Idle time after which the target closes a connection."""
 
@@ -48,6 +52,7 @@
         ledger: Records its requests.
         clock: Clock of the soak test.
         rng: Random number generator.
+        on_crash: Called when a request has crashed the target.
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         ledger: ledgers.Ledger,
         clock: clocks.Clock,
         rng: random.Random,
+        on_crash: collections.abc.Callable[[Target], None],
     ) -> None:
         self.name = name
         self.service = service
@@ -71,6 +77,7 @@
         self._ledger = ledger
         self._clock = clock
         self._rng = rng
+        self._on_crash = on_crash
         self._running = 0
         self._queued = 0
         self._slots = asyncio.Semaphore(SLOTS)
@@ -101,6 +108,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def _crash(self, content: str) -> None:
+        """Refuse connections from now on, and reset the open ones."""
+        self._ledger.crash_rule.on_crash(content, self._clock.now_ms)
+        self.proxy.close()
+        self.close()
+        self._on_crash(self)
+
     @property
     def is_healthy(self) -> bool:
         """Whether no fault is injected."""
@@ -152,6 +166,7 @@
                 writer,
                 request_id,
                 ledgers.hash_content(method, path, body),
+                crash_rule.DEADLY_PATH in path,
             )
         )
         run.add_done_callback(
@@ -169,7 +184,11 @@
         return run.result()
 
     async def _run(
-        self, writer: asyncio.StreamWriter, request_id: str, content: str
+        self,
+        writer: asyncio.StreamWriter,
+        request_id: str,
+        content: str,
+        is_deadly: bool,
     ) -> bool:
         self._queued += 1
         try:
@@ -181,6 +200,10 @@
         self._running += 1
         try:
             faults = self.faults
+            if is_deadly:
+                await asyncio.sleep(CRASH_DELAY_MS / 1_000)
+                self._crash(content)
+                return False
             await asyncio.sleep(SERVICE_MS * faults.slowdown / 1_000)
         finally:
             self._running -= 1
