Refuse requests that crash target after target

Cause: nothing outlives the attempts of one request. A repeat is a new request at each host, with retries and a retry budget of its own.

Hosts now count the crashes of each request since its last response and tell their peers; after three, all refuse it as not run. A lost connection counts only if the target refuses a new one.

--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -12,7 +12,9 @@
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
+from wigeonhatch.requests import quarantine
 from wigeonhatch.routes import model
+from wigeonhatch.targets import crash_detector
 from wigeonhatch.targets import registry
 
 REGION_BY_DOMAIN = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
@@ -65,6 +67,11 @@
         self.loads = loads.LoadTable(self.clock)
         self.ejections = ejection.EjectionTable(self.clock)
         self.warmups = warmup.WarmupBudget('h1', self.clock, lambda: hosts)
+        self.quarantine = quarantine.QuarantineTable(
+            'h1',
+            lambda: quarantine.HostView(frozenset(hosts), frozenset(hosts)),
+            self.clock,
+        )
         self.limits = rate_limits.RateLimitTable(self.clock)
         self.rates = rate_budget.RateBudget(
             'h1',
@@ -92,6 +99,14 @@
         self.picker.configure({'board': SERVICE_CONFIG})
         self.picker.adjust_splits({})
 
+    def detect_crashes(
+        self, connector: crash_detector.Connector
+    ) -> crash_detector.CrashDetector:
+        """Build a detector that reports crashes to the quarantine."""
+        return crash_detector.CrashDetector(
+            connector, self.quarantine.on_crash
+        )
+
     def pick(
         self,
         affinity_key: bytes = b'k',
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -19,6 +19,7 @@
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import quarantine
 from wigeonhatch.standins import row_store
 
 BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '5s')  # type: ignore
@@ -50,11 +51,15 @@
         self.clock = clocks.ManualClock()
         self.loads = loads.LoadTable(self.clock)
         self.limits = rate_limits.RateLimitTable(self.clock)
+        self.quarantine = quarantine.QuarantineTable(
+            'h1', lambda: self.fleet.find_repeat_hosts(), self.clock
+        )
         self.fleet = fleets.Fleet(
             SETTINGS,
             typing.cast(typing.Any, None),
             self.loads,
             self.limits,
+            self.quarantine,
             self.report,
             lambda state: self.peer_changes.append(
                 state.report.changed_by_table
--- a/tests/requests/test_endless_response.py
+++ b/tests/requests/test_endless_response.py
@@ -114,6 +114,8 @@
             self.scene.rates,
             self.scene.targets,
             self.client,
+            self.scene.quarantine,
+            self.scene.detect_crashes(self.client),
             lambda: retry.RetryBudget(0, lambda: 1),
             CLOCK,
         )
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -13,8 +13,10 @@
 from tests.routes import test_table
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.balance import ejection
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model as request_model
+from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import retry
@@ -62,6 +64,8 @@
         self.targets: list[str] = []
         self.heads: list[target_request.RequestHead] = []
         self.on_send: collections.abc.Callable[[], None] = lambda: None
+        self.has_crashed = False
+        self.on_crash: collections.abc.Callable[[str], None] = lambda _: None
 
     async def send(
         self,
@@ -81,6 +85,12 @@
         assert step is not None
         return outcome.Success(step())
 
+    async def refuses_connections(self, target: str) -> bool:
+        """Whether the target has crashed; if so, it starts again."""
+        if self.has_crashed:
+            self.on_crash(target)
+        return self.has_crashed
+
     def close_idle(self, target: str) -> None:
         """Do nothing; there are no connections."""
 
@@ -93,6 +103,7 @@
             harnesses.build_target(f't{number}') for number in range(4)
         )
         self.client = _Client(*steps)
+        self.client.on_crash = self._restart
         self.control = request_model.RequestControl()
         self.relay = relays.Relay(
             self.scene.picker,
@@ -103,10 +114,18 @@
             self.scene.rates,
             self.scene.targets,
             typing.cast(typing.Any, self.client),
+            self.scene.quarantine,
+            self.scene.detect_crashes(self.client),
             lambda: retry.RetryBudget(0, lambda: retries),
             self.scene.clock,
         )
 
+    def _restart(self, name: str) -> None:
+        record = self.scene.targets.record_by_name[name]
+        self.scene.targets.update(
+            [dataclasses.replace(record, started_ms=record.started_ms + 1)], ()
+        )
+
     def run(
         self,
         kind: model.RequestKind = model.RequestKind.IDEMPOTENT,
@@ -142,7 +161,10 @@
 
         async def main() -> relay_model.Response | relay_model.Refusal:
             with anyio.fail_after(within_s):
-                return await self.relay.run(request, body, self.control)
+                result = await self.relay.run(request, body, self.control)
+            # Lets the examination of a lost target end.
+            await anyio.sleep(0.01)
+            return result
 
         result = anyio.run(main)
         counts = self.scene.loads.own_counts()
@@ -309,3 +331,60 @@
     assert isinstance(rig.run(), relay_model.Response)
     targets = rig.scene.targets.record_by_name
     assert rig.scene.limits.rate_per_s(targets[rig.client.targets[0]]) is None
+
+
+def _lose_requests(rig: _Rig, kind: model.RequestKind) -> None:
+    rig.client.steps = [LOST] * 2 * quarantine.MAX_CRASHES
+    for _ in range(quarantine.MAX_CRASHES):
+        rig.run(kind)
+        rig.scene.clock.advance(ejection.MAX_EJECTION_MS)
+
+
+@pytest.mark.parametrize('kind', list(model.RequestKind))
+def test_request_that_crashes_targets_is_refused_as_not_run(
+    kind: model.RequestKind,
+) -> None:
+    """Guards against one request that ends target after target."""
+    rig = _Rig()
+    rig.client.has_crashed = True
+    _lose_requests(rig, kind)
+    count = len(rig.client.targets)
+    result = rig.run(kind)
+    assert refused(result) == (CODE.QUARANTINED, codes.Ran.NOT_RUN)
+    assert len(rig.client.targets) == count
+    assert count <= quarantine.MAX_CRASHES + 1
+
+
+def test_attempt_before_a_quarantine_is_not_denied() -> None:
+    """Guards against "not run" for a request whose attempts crashed targets.
+
+    The refusal names the quarantine as the reason for no further attempt.
+    """
+    rig = _Rig(*[LOST] * quarantine.MAX_CRASHES)
+    rig.client.has_crashed = True
+    for _ in range(quarantine.MAX_CRASHES - 1):
+        rig.run(NON_IDEMPOTENT)
+    result = rig.run()
+    assert isinstance(result, relay_model.Refusal)
+    assert result.failure.ran is codes.Ran.UNKNOWN
+    assert 'targets crashed' in result.failure.detail
+
+
+def test_lost_connections_alone_quarantine_nothing() -> None:
+    """Guards against refusals of requests whose connections were reset."""
+    rig = _Rig()
+    _lose_requests(rig, NON_IDEMPOTENT)
+    rig.client.steps = [_Response]
+    assert isinstance(rig.run(NON_IDEMPOTENT), relay_model.Response)
+
+
+def test_suspect_request_ejects_no_target() -> None:
+    """Guards against a deadly request that keeps targets ejected."""
+    rig = _Rig(*[LOST] * quarantine.MAX_CRASHES)
+    rig.client.has_crashed = True
+    for _ in range(quarantine.MAX_CRASHES):
+        rig.run(NON_IDEMPOTENT)
+    assert not any(
+        rig.scene.ejections.is_suspect(name)
+        for name in rig.scene.targets.record_by_name
+    )
--- a/wigeonhatch/codes.py
+++ b/wigeonhatch/codes.py
@@ -45,6 +45,7 @@
     LINK_FULL = 204
     PREEMPTED = 205
     TARGET_SHED = 207
+    QUARANTINED = 208
 
     # 3xx: an attempt failed in transit or at the target.
     TARGET_CONNECT_FAILED = 301
@@ -179,6 +180,9 @@
     ResultCode.TARGET_SHED: _info(
         503, _NO, True, 'The target refused the request without running it.'
     ),
+    ResultCode.QUARANTINED: _info(
+        503, _NO, True, 'Targets crashed while they ran the request.'
+    ),
     ResultCode.TARGET_CONNECT_FAILED: _info(
         502, _NO, True, 'No connection to the target could be opened.'
     ),
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -35,12 +35,14 @@
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
+from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import retry
 from wigeonhatch.requests import server as request_server
 from wigeonhatch.routes import model
 from wigeonhatch.routes import table as tables
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import crash_detector
 from wigeonhatch.targets import registry
 
 CONNECT_TIMEOUT_MS = 300
@@ -97,11 +99,15 @@
             settings.link_mbps,
             settings.processor_share * settings.processor_speed,
         )
+        self._quarantine = quarantine.QuarantineTable(
+            settings.host, lambda: self._fleet.find_repeat_hosts(), clock
+        )
         self._fleet = fleets.Fleet(
             settings,
             self._store,
             self._loads,
             self._limits,
+            self._quarantine,
             self._build_report,
             lambda state: self._store_follower.on_peer_state(state),
             clock,
@@ -157,6 +163,10 @@
             self._rates,
             self._targets,
             self._client,
+            self._quarantine,
+            crash_detector.CrashDetector(
+                self._client, self._quarantine.on_crash
+            ),
             self._build_retry_budget,
             clock,
         )
@@ -299,6 +309,7 @@
         while True:
             await self._clock.sleep_ms(region_split.ADJUST_INTERVAL_MS)
             self._catalog.expire_holds()
+            self._quarantine.expire()
             self._picker.adjust_splits(self._fleet.peers.region_by_host())
 
     def _on_config(self, config: model.RoutingConfig) -> None:
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -21,6 +21,7 @@
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import quarantine as quarantines
 
 _RETRY_INTERVAL_MS = 500
 """Interval of attempts to register (one write each) or to read the list."""
@@ -31,6 +32,8 @@
 _NON_READER_LIST_INTERVAL_MS = 300_000
 """Interval between reads by the other hosts. They learn of new hosts from
 heartbeats and read the list only to remove replaced hosts."""
+_MIN_EXTRA_INTERVAL_MS = 50
+"""Shortest time between datagrams that do not wait for their turn."""
 _STOP_DATAGRAMS = 3
 """Datagrams sent when the host stops, in case some are lost."""
 _LOG = logging.getLogger(__name__)
@@ -44,6 +47,7 @@
         store: Client of the platform's store.
         load_table: Requests in progress by target.
         limits: Rate limits that targets state.
+        quarantine: Requests that crash targets.
         report: Returns the status that this host reports about itself.
         on_peer_state: Called with each new state of a peer.
         clock: Clock of the host.
@@ -55,6 +59,7 @@
         store: stores.StoreClient,
         load_table: loads.LoadTable,
         limits: rate_limits.RateLimitTable,
+        quarantine: quarantines.QuarantineTable,
         report: collections.abc.Callable[[], state_link.HostReport],
         on_peer_state: collections.abc.Callable[[state_link.HostState], None],
         clock: clocks.Clock,
@@ -69,12 +74,16 @@
         self._store = store
         self._loads = load_table
         self._limits = limits
+        self._quarantine = quarantine
+        quarantine.on_change = self._send_early
         self._report = report
         self._on_peer_state = on_peer_state
         self._clock = clock
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._send_count = 0
+        self._sent_early_ms = -_MIN_EXTRA_INTERVAL_MS
+        self._incarnation_by_host: dict[str, int] = {}
         self._is_leaving = False
         self._link = state_link.StateLink(self._on_state)
 
@@ -136,6 +145,7 @@
             )
             for host in self.peers.detect_lost_peers():
                 self._loads.remove_host(host)
+                self._incarnation_by_host.pop(host, None)
             await self._clock.sleep_ms(state_link.INTERVAL_MS)
 
     @property
@@ -238,6 +248,15 @@
             (self._settings.host, *(s.host for s in self.peers.live_states()))
         )
 
+    def find_repeat_hosts(self) -> quarantines.HostView:
+        """Find the hosts at which a repeat of a request may arrive."""
+        live = self.live_hosts()
+        known = live | self.peers.region_by_host().keys()
+        if len(known) == 1:
+            # A host that has heard of no peer since its start.
+            known |= self.roster.ip_by_host.keys()
+        return quarantines.HostView(live, known)
+
     def find_senders(self, domain: str) -> rate_budget.HostGroup:
         """Find the hosts that may send to a target with a rate limit.
 
@@ -311,8 +330,19 @@
         self.roster.set_ip(state.host, ip)
         self._loads.on_report(state.host, state.count_by_target)
         self._limits.on_report(state.rate_statements)
+        self._quarantine.on_report(state.crash_statements)
+        if self._incarnation_by_host.get(state.host) != state.incarnation:
+            self._incarnation_by_host[state.host] = state.incarnation
+            self._quarantine.report_again()
         self._on_peer_state(state)
 
+    def _send_early(self) -> None:
+        """Send a datagram to all peers without waiting for its turn."""
+        now_ms = self._clock.now_ms
+        if now_ms - self._sent_early_ms >= _MIN_EXTRA_INTERVAL_MS:
+            self._sent_early_ms = now_ms
+            self._send(self.roster.ip_by_host)
+
     def _send(self, hosts: collections.abc.Iterable[str]) -> None:
         self._sequence += 1
         counts = self._loads.own_counts()
@@ -332,6 +362,7 @@
             self._report(),
             counts,
             self._limits.build_report(),
+            self._quarantine.build_report(),
         )
         # A seed may also be on the roster under its host name.
         ips = {self.roster.ip_by_host[host] for host in hosts}
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -17,6 +17,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch.balance import rate_limits
+from wigeonhatch.requests import quarantine
 
 INTERVAL_MS = 200
 """Interval of datagrams within a region; bounds the age of target counts."""
@@ -66,6 +67,7 @@
         report: Status that it reports about itself.
         count_by_target: Number of its requests in flight by target.
         rate_statements: Rate limits that targets have stated.
+        crash_statements: Requests that crash targets.
     """
 
     host: str
@@ -77,6 +79,7 @@
     report: HostReport
     count_by_target: dict[str, int]
     rate_statements: tuple[rate_limits.RateStatement, ...] = ()
+    crash_statements: tuple[quarantine.CrashStatement, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/wigeonhatch/requests/_target_health.py
@@ -0,0 +1,113 @@
+"""What the result of an attempt tells about its target and the request."""
+
+from __future__ import annotations
+
+from wigeonhatch import codes
+from wigeonhatch import outcome
+from wigeonhatch.balance import ejection
+from wigeonhatch.balance import loads
+from wigeonhatch.balance import picker as pickers
+from wigeonhatch.requests import quarantine as quarantines
+from wigeonhatch.requests import relay_model
+from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import crash_detector
+
+_SERVER_ERROR = 500
+_RESPONDED_CODES = frozenset(
+    {
+        codes.ResultCode.TARGET_SHED,
+        codes.ResultCode.TARGET_PROTOCOL,
+        codes.ResultCode.RESPONSE_INCOMPLETE,
+    }
+)
+_UNRESPONSIVE_CODES = frozenset(
+    {
+        codes.ResultCode.TARGET_TIMEOUT,
+        codes.ResultCode.DEADLINE_EXCEEDED_RUNNING,
+        codes.ResultCode.TARGET_LOST,
+    }
+)
+_DISCONNECTED_CODES = frozenset(
+    {codes.ResultCode.TARGET_LOST, codes.ResultCode.RESPONSE_INCOMPLETE}
+)
+
+
+class TargetHealth:
+    """Update the health of targets and their usual durations.
+
+    Args:
+        load_table: Usual durations by service.
+        ejections: Outlier ejection of failing targets.
+        quarantine: Requests that crash targets.
+        crashes: Detects crashes of targets.
+        client: HTTP client of the targets.
+    """
+
+    def __init__(
+        self,
+        load_table: loads.LoadTable,
+        ejections: ejection.EjectionTable,
+        quarantine: quarantines.QuarantineTable,
+        crashes: crash_detector.CrashDetector,
+        client: target_client.TargetClient,
+    ) -> None:
+        self._loads = load_table
+        self._ejections = ejections
+        self._quarantine = quarantine
+        self._crashes = crashes
+        self._client = client
+
+    def on_result(
+        self,
+        request: relay_model.RelayRequest,
+        fingerprint: int,
+        pick: pickers.Pick,
+        result: relay_model.Response | outcome.Failure,
+        load: int,
+        elapsed_ms: int,
+    ) -> None:
+        """Record the result of an attempt.
+
+        Args:
+            request: The request.
+            fingerprint: Its fingerprint.
+            pick: Target of the attempt.
+            result: Response or failure.
+            load: Requests in progress at the target when it started.
+            elapsed_ms: Duration in ms.
+        """
+        target = pick.target
+        name = target.name
+        if isinstance(result, relay_model.Response):
+            self._quarantine.on_served(fingerprint)
+            if result.status >= _SERVER_ERROR:
+                self._ejections.on_failure(
+                    name, True, f'status {result.status}'
+                )
+            else:
+                self._ejections.on_success(name)
+                # Requests without an affinity key test the configuration.
+                if load < target.slots and request.affinity_key:
+                    self._loads.record_duration(
+                        request.service, pick.is_home, elapsed_ms
+                    )
+            return
+        is_disconnected = result.code in _DISCONNECTED_CODES
+        if is_disconnected:
+            self._crashes.on_lost(target, fingerprint)
+        if result.code is codes.ResultCode.CALLER_GONE:
+            self._ejections.on_inconclusive(name)
+        elif result.code is codes.ResultCode.TARGET_SHED and (
+            load >= target.slots
+        ):
+            # A refusal by a full target is no sign of a fault.
+            self._ejections.on_inconclusive(name)
+        elif is_disconnected and self._quarantine.is_suspect(fingerprint):
+            # The request may be the cause, and the target may soon be back.
+            self._ejections.on_inconclusive(name)
+        else:
+            self._ejections.on_failure(
+                name, result.code in _RESPONDED_CODES, result.code.name
+            )
+        if result.code in _UNRESPONSIVE_CODES:
+            self._client.close_idle(name)
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -23,12 +23,15 @@
 from wigeonhatch.requests import _attempt_log
 from wigeonhatch.requests import _exchange
 from wigeonhatch.requests import _query
+from wigeonhatch.requests import _target_health
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model
+from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import response_buffer
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import crash_detector
 from wigeonhatch.targets import registry
 
 MIN_ATTEMPT_MS = 20
@@ -55,6 +58,8 @@
         rates: Share of this host in these limits.
         targets: Registry of targets.
         client: HTTP client of the targets.
+        quarantine: Requests that crash targets.
+        crashes: Detects crashes of targets.
         build_budget: Builds the retry budget of a service.
         clock: Source of monotonic time.
     """
@@ -69,6 +74,8 @@
         rates: rate_budget.RateBudget,
         targets: registry.TargetRegistry,
         client: target_client.TargetClient,
+        quarantine: quarantines.QuarantineTable,
+        crashes: crash_detector.CrashDetector,
         build_budget: collections.abc.Callable[[], retry.RetryBudget],
         clock: clocks.Clock,
     ) -> None:
@@ -81,6 +88,11 @@
         self._targets = targets
         self.is_stopping = False
         self._client = client
+        self._quarantine = quarantine
+        self._crashes = crashes
+        self._health = _target_health.TargetHealth(
+            load_table, ejections, quarantine, crashes, client
+        )
         self._clock = clock
         self._buffered = response_buffer.BufferedBytes()
         self._last_responses = inactivity.LastResponseTimes(clock)
@@ -115,6 +127,14 @@
                 request, history, body
             ):
                 return self._refuse(history, history.failure.code)
+            quarantined = self._quarantine.check(history.fingerprint)
+            if quarantined is not None:
+                return self._refuse(
+                    history,
+                    codes.ResultCode.QUARANTINED,
+                    quarantined.reason,
+                    quarantined.retry_after_ms,
+                )
             pick = self._picker.pick(
                 _query.build_query(
                     request,
@@ -133,6 +153,8 @@
             result = await self._attempt(request, body, control, pick, history)
             if isinstance(result, relay_model.Response):
                 return result
+            if self._quarantine.is_suspect(history.fingerprint):
+                await self._crashes.wait_examined(pick.target.name)
 
     def _may_retry(
         self,
@@ -174,6 +196,7 @@
         started_ms = self._clock.now_ms
         self._loads.start(name)
         self._ejections.on_start(name)
+        self._quarantine.on_start(history.fingerprint)
         history.target_fields = None
         result: relay_model.Response | outcome.Failure | None = None
         try:
@@ -197,13 +220,16 @@
         finally:
             timer.stop()
             self._loads.finish(name)
+            self._quarantine.on_end(history.fingerprint)
         elapsed_ms = self._clock.now_ms - started_ms
         if result is None:
             result = outcome.Failure(
                 cause or codes.ResultCode.TARGET_TIMEOUT,
                 ran_override=codes.Ran.UNKNOWN,
             )
-        self._update_target_health(request, pick, result, load, elapsed_ms)
+        self._health.on_result(
+            request, history.fingerprint, pick, result, load, elapsed_ms
+        )
         _attempt_log.log_attempt(
             request,
             history,
@@ -299,44 +325,6 @@
         if is_own or head.max_rate_per_s is not None:
             self._limits.on_response(target, head.max_rate_per_s)
 
-    def _update_target_health(
-        self,
-        request: relay_model.RelayRequest,
-        pick: pickers.Pick,
-        result: relay_model.Response | outcome.Failure,
-        load: int,
-        elapsed_ms: int,
-    ) -> None:
-        """Update target health and usual durations after an attempt."""
-        target = pick.target
-        name = target.name
-        if isinstance(result, relay_model.Response):
-            if result.status >= _SERVER_ERROR:
-                self._ejections.on_failure(
-                    name, True, f'status {result.status}'
-                )
-            else:
-                self._ejections.on_success(name)
-                # Requests without an affinity key test the configuration.
-                if load < target.slots and request.affinity_key:
-                    self._loads.record_duration(
-                        request.service, pick.is_home, elapsed_ms
-                    )
-            return
-        if result.code is codes.ResultCode.CALLER_GONE:
-            self._ejections.on_inconclusive(name)
-        elif result.code is codes.ResultCode.TARGET_SHED and (
-            load >= target.slots
-        ):
-            # A refusal by a full target is no sign of a fault.
-            self._ejections.on_inconclusive(name)
-        else:
-            self._ejections.on_failure(
-                name, result.code in _RESPONDED_CODES, result.code.name
-            )
-            if result.code in _UNRESPONSIVE_CODES:
-                self._client.close_idle(name)
-
     def _refuse(
         self,
         history: relay_model.AttemptHistory,
@@ -357,20 +345,8 @@
             failure = dataclasses.replace(
                 failure, ran_override=codes.Ran.UNKNOWN
             )
+        elif code is codes.ResultCode.QUARANTINED:
+            failure = dataclasses.replace(
+                failure, detail=f'{failure.detail}; {detail}'
+            )
         return relay_model.Refusal(failure, retry_after_ms)
-
-
-_RESPONDED_CODES = frozenset(
-    {
-        codes.ResultCode.TARGET_SHED,
-        codes.ResultCode.TARGET_PROTOCOL,
-        codes.ResultCode.RESPONSE_INCOMPLETE,
-    }
-)
-_UNRESPONSIVE_CODES = frozenset(
-    {
-        codes.ResultCode.TARGET_TIMEOUT,
-        codes.ResultCode.DEADLINE_EXCEEDED_RUNNING,
-        codes.ResultCode.TARGET_LOST,
-    }
-)
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -104,6 +104,33 @@
         pool = self._pool_by_target.get(target)
         return 0 if pool is None else pool.open_count
 
+    async def refuses_connections(self, target: str) -> bool:
+        """Open a connection to a target and close it.
+
+        Args:
+            target: Name of the target.
+
+        Returns:
+            Whether the target's machine answered that nothing listens there;
+            False also if there was no answer.
+        """
+        pool = self._pool_by_target.get(target)
+        if pool is None:
+            return False
+        host, port = pool.origin.host.decode(), pool.origin.port
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1_000):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, host, port
+                )
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        transport.abort()
+        return False
+
     def close(self) -> None:
         """Close idle connections now, and the others after their requests."""
         for pool in self._pool_by_target.values():
