Name the fingerprint in refusals of quarantined requests

A request that is refused before its first attempt has no line with its fingerprint, so that its id did not lead to the crashes.

--- a/wigeonhatch/requests/quarantine.py
+++ b/wigeonhatch/requests/quarantine.py
@@ -170,15 +170,11 @@
         if count >= limit and not self._is_trial_due(
             fingerprint, entry, count
         ):
-            return Quarantined(
-                f'{count} targets crashed while they ran it', REPEAT_MS
-            )
+            return _refuse(fingerprint, count, '', REPEAT_MS)
         # The next crash decides: concurrent repeats would crash more targets.
         if count and count + 1 >= limit and self._in_progress[fingerprint]:
-            return Quarantined(
-                f'{count} targets crashed while they ran it, and another one'
-                ' runs it',
-                BUSY_REPEAT_MS,
+            return _refuse(
+                fingerprint, count, '; another one runs it', BUSY_REPEAT_MS
             )
         return None
 
@@ -342,6 +338,16 @@
         del self._entry_by_fingerprint[evicted]
 
 
+def _refuse(
+    fingerprint: int, count: int, reason: str, retry_after_ms: int
+) -> Quarantined:
+    text = fingerprints.format_fingerprint(fingerprint)
+    return Quarantined(
+        f'{count} targets crashed while they ran {text}{reason}',
+        retry_after_ms,
+    )
+
+
 def _select_reported(
     changed: list[tuple[int, _Entry]], now_ms: int
 ) -> list[tuple[int, _Entry]]:
