--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -136,7 +136,7 @@
 class _InstantRunner:
     """Respond at once, to measure the callers' interface alone."""
 
-    async def run(self, context: attempts.RequestContext) -> attempts.Result:
+    async def run(self, context: model.RequestContext) -> attempts.Result:
         reply: model.Reply = context.reply
         await reply.start(200, tuple(_HEADERS))
         await reply.write(_BODY, True)
--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -137,7 +137,7 @@
             result = await body.buffer()
         if result is None:
             result = await self._run(
-                attempts.RequestContext(request, body, reply, control)
+                model.RequestContext(request, body, reply, control)
             )
         if isinstance(result, outcome.Failure):
             if reply.is_started:
@@ -147,7 +147,7 @@
                 await self._refuse(send, result, request_id)
         self._report(request_id, request.service, result, started_ms)
 
-    async def _run(self, context: attempts.RequestContext) -> attempts.Result:
+    async def _run(self, context: model.RequestContext) -> attempts.Result:
         try:
             return await self._runner.run(context)
         except Exception:
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -16,7 +16,7 @@
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import _response_stream
 from wigeonhatch.requests import _route_search
-from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import _target_attempt
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import forward_client
 from wigeonhatch.requests import keys as key_tables
@@ -30,36 +30,6 @@
 # Waits for a target end at the deadline; the attempt is cancelled this much
 # later, so that an unresponsive target is reported as such.
 _DEADLINE_GRACE_S = 0.05
-_RESULT_BY_CODE = {
-    codes.ResultCode.TARGET_CONNECT_FAILED: (
-        dependencies.AttemptResult.CONNECT_FAILED
-    ),
-    codes.ResultCode.TARGET_SHED: dependencies.AttemptResult.SHED,
-    codes.ResultCode.TARGET_LOST: dependencies.AttemptResult.LOST,
-    codes.ResultCode.TARGET_PROTOCOL: dependencies.AttemptResult.LOST,
-    codes.ResultCode.RESPONSE_INCOMPLETE: dependencies.AttemptResult.LOST,
-    codes.ResultCode.TARGET_TIMEOUT: dependencies.AttemptResult.TIMEOUT,
-    codes.ResultCode.DEADLINE_EXCEEDED_RUNNING: (
-        dependencies.AttemptResult.TIMEOUT
-    ),
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestContext:
-    """State of one request that its attempts share.
-
-    Args:
-        request: Validated head.
-        body: Body of the request.
-        reply: Receiver of the response.
-        control: Cancels the attempt in progress.
-    """
-
-    request: model.CallerRequest
-    body: bodies.RequestBody
-    reply: model.Reply
-    control: model.RequestControl
 
 
 class RequestRunner:
@@ -87,16 +57,17 @@
     ) -> None:
         self._host = host
         self._clock = clock
-        self._slots = slots
         self._router = router
-        self._targets = targets
+        self._target_attempts = _target_attempt.TargetAttempts(
+            clock, slots, targets
+        )
         self._keys = keys
         self._forwarder = forwarder
         self._budget_by_service: dict[str, retry.RetryBudget] = (
             collections.defaultdict(retry.RetryBudget)
         )
 
-    async def run(self, context: RequestContext) -> Result:
+    async def run(self, context: model.RequestContext) -> Result:
         """Run a request that a caller sent to this host.
 
         Args:
@@ -118,7 +89,7 @@
             return await self.run_as_issuer(context)
         return await self._run_at_issuer(context, key_parts.host)
 
-    async def run_as_issuer(self, context: RequestContext) -> Result:
+    async def run_as_issuer(self, context: model.RequestContext) -> Result:
         """Run a non-idempotent request whose key this host issued.
 
         Args:
@@ -148,7 +119,9 @@
             return recorder.failure
         return result
 
-    async def run_local(self, context: RequestContext, wait_ms: int) -> Result:
+    async def run_local(
+        self, context: model.RequestContext, wait_ms: int
+    ) -> Result:
         """Run a request at a target of this host only.
 
         Args:
@@ -180,7 +153,7 @@
             self._keys.remove(request.key)
 
     async def _run_at_issuer(
-        self, context: RequestContext, host: str
+        self, context: model.RequestContext, host: str
     ) -> Result:
         state = model.AttemptState()
         result = await self._attempt(
@@ -196,7 +169,7 @@
         return dataclasses.replace(result, ran_override=codes.Ran.UNKNOWN)
 
     async def _run_routes(
-        self, context: RequestContext, is_issuer: bool
+        self, context: model.RequestContext, is_issuer: bool
     ) -> Result:
         request = context.request
         search = _route_search.RouteSearch(
@@ -241,7 +214,7 @@
 
     async def _attempt(
         self,
-        context: RequestContext,
+        context: model.RequestContext,
         remote_host: str | None,
         is_issuer: bool,
         region: str = '',
@@ -267,7 +240,9 @@
             ) as scope:
                 context.control.enter(scope)
                 if remote_host is None:
-                    result = await self._run_at_target(context, state, wait_ms)
+                    result = await self._target_attempts.run(
+                        context, state, wait_ms
+                    )
                 else:
                     result = await self._forward(
                         forward_client.Destination(
@@ -293,12 +268,12 @@
     async def _forward(
         self,
         destination: forward_client.Destination,
-        context: RequestContext,
+        context: model.RequestContext,
         state: model.AttemptState,
     ) -> Result:
         def on_sent() -> None:
             state.may_have_run = True
-            self._detach(context)
+            _target_attempt.detach(context)
 
         return await self._forwarder.forward(
             destination,
@@ -308,90 +283,3 @@
             state,
             on_sent,
         )
-
-    async def _run_at_target(
-        self, context: RequestContext, state: model.AttemptState, wait_ms: int
-    ) -> Result:
-        request = context.request
-        acquired = await self._acquire(context, wait_ms)
-        if isinstance(acquired, outcome.Failure):
-            return acquired
-        grant = acquired.value
-        started_ms = self._clock.now_ms
-        result = dependencies.AttemptResult.CANCELLED
-        is_released = False
-
-        def release() -> None:
-            nonlocal is_released
-            if not is_released:
-                is_released = True
-                grant.release(result, self._clock.now_ms - started_ms)
-
-        try:
-            state.may_have_run = True
-            self._detach(context)
-            send_result = await self._targets.send(
-                grant.target,
-                _attempt.build_head(request, context.body, self._clock.now_ms),
-                context.body.payload(),
-                request.deadline_ms,
-            )
-            if isinstance(send_result, outcome.Failure):
-                result = _RESULT_BY_CODE.get(send_result.code, result)
-                return send_result
-            response = send_result.value
-            try:
-                if response.is_shed:
-                    result = dependencies.AttemptResult.SHED
-                    await response.discard()
-                    return outcome.Failure(
-                        codes.ResultCode.TARGET_SHED, grant.target
-                    )
-                result = dependencies.AttemptResult.SERVED
-                streamed = await _response_stream.stream_response(
-                    response, context.reply, release
-                )
-                if isinstance(streamed, outcome.Failure):
-                    result = _RESULT_BY_CODE.get(
-                        streamed.code, dependencies.AttemptResult.CANCELLED
-                    )
-                return streamed
-            except BaseException:
-                result = dependencies.AttemptResult.CANCELLED
-                raise
-            finally:
-                if not response.is_complete:
-                    with anyio.CancelScope(shield=True):
-                        await response.close()
-        finally:
-            release()
-
-    async def _acquire(
-        self, context: RequestContext, wait_ms: int
-    ) -> outcome.Success[dependencies.SlotGrant] | outcome.Failure:
-        request = context.request
-
-        def on_preempt() -> None:
-            # Preemption would truncate a response that has started.
-            if not context.reply.is_started:
-                context.control.on_preempt()
-
-        slot_request = dependencies.SlotRequest(
-            request.service,
-            request.customer,
-            request.is_idempotent,
-            request.bucket,
-            on_preempt
-            if request.is_idempotent and context.body.is_small
-            else None,
-        )
-        if not wait_ms:
-            return self._slots.acquire(slot_request)
-        remaining_ms = request.deadline_ms - self._clock.now_ms
-        return await self._slots.acquire_within(
-            slot_request, max(0, min(wait_ms, remaining_ms))
-        )
-
-    def _detach(self, context: RequestContext) -> None:
-        if not context.request.is_idempotent and context.body.is_small:
-            context.control.is_detached = True
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -92,7 +92,7 @@
             if failure is not None:
                 return failure
         control = model.RequestControl()
-        context = attempts.RequestContext(request, body, reply, control)
+        context = model.RequestContext(request, body, reply, control)
         if request.key:
             result = await self._run_as_issuer(context, reply)
         else:
@@ -109,7 +109,7 @@
         return result
 
     async def _run_as_issuer(
-        self, context: attempts.RequestContext, reply: _StreamReply
+        self, context: model.RequestContext, reply: _StreamReply
     ) -> attempts.Result:
         running = self._runner.run_as_issuer(context)
         if not context.body.is_small:
--- a/wigeonhatch/requests/model.py
+++ b/wigeonhatch/requests/model.py
@@ -11,6 +11,7 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import headers as fields
 
 
@@ -132,6 +133,23 @@
         return cause
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestContext:
+    """State of one request that its attempts share.
+
+    Args:
+        request: Validated head.
+        body: Body of the request.
+        reply: Receiver of the response.
+        control: Cancels the attempt in progress.
+    """
+
+    request: CallerRequest
+    body: bodies.RequestBody
+    reply: Reply
+    control: RequestControl
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSummary:
     """Result of a request, for metrics and logs.
