Refuse requests that crash target after target in entry as well

The daemon on the stand-ins has the cause of the fault of edge: a caller's next try, or a try at another owner, is a request that nothing is known of. Callers that repeat a deadly request would end the targets of one owner after the other.

Owners now check the fingerprint (method, path, client, customer, body) before they take a slot, and exchange crashes by state exchange. Targets of entry have no start in the configuration, so that the time of a crash tells incarnations apart; each target has one owner. A quarantine ends the search for routes.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -37,6 +37,7 @@
 from wigeonhatch.requests import forward_client
 from wigeonhatch.requests import keys
 from wigeonhatch.requests import model
+from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import server
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import request as target_request
@@ -152,6 +153,7 @@
         stubs: Stubs for slots, routes, peers, links and configuration.
     """
     clock = clocks.Clock()
+    hosts = frozenset({'h1'})
     targets = target_client.TargetClient(clock)
     targets.configure(stubs.current)
     forwarder = forward_client.ForwardClient('r1', clock, stubs, stubs, stubs)
@@ -163,6 +165,9 @@
         targets,
         keys.KeyTable('h1', 1, clock),
         forwarder,
+        quarantine.QuarantineTable(
+            'h1', lambda: quarantine.HostView(hosts, hosts), clock
+        ),
     )
     return runner, forwarder
 
--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -104,7 +104,7 @@
     ) -> crash_detector.CrashDetector:
         """Build a detector that reports crashes to the quarantine."""
         return crash_detector.CrashDetector(
-            connector, self.quarantine.on_crash
+            connector, self.quarantine.on_crash, self.clock
         )
 
     def pick(
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -14,6 +14,7 @@
 from tests.peers import cluster
 from wigeonhatch.peers import records
 from wigeonhatch.platform import interface
+from wigeonhatch.requests import quarantine
 from wigeonhatch.standins import memory_platform
 from wigeonhatch.steering import split as splits
 
@@ -265,3 +266,18 @@
         old_membership = old.node.membership
         await cluster.wait_until(lambda: old_membership.is_superseded)
         assert has_new_record() and not new.node.membership.is_superseded
+
+
+async def test_crashes_of_targets_are_exchanged() -> None:
+    """Guards against owners that each lose targets to the same request."""
+    async with _cluster(3) as testbed:
+        hosts = await testbed.start_all()
+        for number in range(quarantine.MAX_CRASHES):
+            hosts[number].node.quarantine.on_crash(7, (f't{number}', 1))
+        await cluster.wait_until(
+            lambda: all(host.node.quarantine.check(7) for host in hosts)
+        )
+        hosts[0].node.quarantine.on_served(7)
+        await cluster.wait_until(
+            lambda: not any(host.node.quarantine.check(7) for host in hosts)
+        )
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -30,6 +30,7 @@
 from wigeonhatch.requests import forward_client
 from wigeonhatch.requests import forward_server
 from wigeonhatch.requests import keys
+from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import server
 from wigeonhatch.targets import client as target_client
 
@@ -119,6 +120,10 @@
     def build(self, incarnation: int) -> None:
         """Build the components whose state is lost on a restart."""
         self.keys = keys.KeyTable(self.name, incarnation, self.clock)
+        alone = frozenset({self.name})
+        self.quarantine = quarantine.QuarantineTable(
+            self.name, lambda: quarantine.HostView(alone, alone), self.clock
+        )
         forwarder = forward_client.ForwardClient(
             self.region, self.clock, self, self, self.links
         )
@@ -130,6 +135,7 @@
             self.targets,
             self.keys,
             forwarder,
+            self.quarantine,
         )
         self.forward_server = forward_server.ForwardServer(
             self.clock, self, self.runner, forwarder, LIMITS
--- a/wigeonhatch/entry/data_plane.py
+++ b/wigeonhatch/entry/data_plane.py
@@ -133,6 +133,7 @@
         targets,
         keys,
         forwarder,
+        control.node.quarantine,
     )
 
     def lookup(
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -165,7 +165,7 @@
             self._client,
             self._quarantine,
             crash_detector.CrashDetector(
-                self._client, self._quarantine.on_crash
+                self._client, self._quarantine.on_crash, clock
             ),
             self._build_retry_budget,
             clock,
--- a/wigeonhatch/entry/maintenance.py
+++ b/wigeonhatch/entry/maintenance.py
@@ -44,6 +44,7 @@
         """Run one round of maintenance."""
         control = self._control
         control.split_table.advance()
+        control.node.quarantine.expire()
         self._data_plane.router.advance()
         control.membership.set_loads(control.slots.loads())
         self._on_membership()
--- a/wigeonhatch/peers/exchange.py
+++ b/wigeonhatch/peers/exchange.py
@@ -20,6 +20,7 @@
 from wigeonhatch.peers import peers_grpc
 from wigeonhatch.peers import peers_pb2
 from wigeonhatch.peers import split_store
+from wigeonhatch.requests import quarantine as quarantines
 
 INTERVAL_MS = 500
 PEERS_PER_ROUND = 2
@@ -45,6 +46,7 @@
         membership: Records and drains.
         store: Configuration in force.
         splits: Newest splits.
+        quarantine: Requests that crash targets.
         gossip: Distribution of the configuration.
         channels: Channels to the peers.
         selector: Selects the peers to call.
@@ -58,6 +60,7 @@
         membership: members.Membership,
         store: config_store.ConfigStore,
         splits: split_store.SplitStore,
+        quarantine: quarantines.QuarantineTable,
         gossip: config_gossip.ConfigGossip,
         channels: peer_channels.PeerChannels,
         selector: peer_selector.PeerSelector,
@@ -68,6 +71,7 @@
         self._membership = membership
         self._store = store
         self._splits = splits
+        self._quarantine = quarantine
         self._config_gossip = gossip
         self._channels = channels
         self._selector = selector
@@ -78,6 +82,7 @@
         self._busy_hosts: set[str] = set()
         membership.subscribe(self._on_change)
         splits.subscribe(self._on_change)
+        quarantine.on_change = self._on_change
 
     async def run(self) -> None:
         """Run gossip rounds and push changes until cancelled."""
@@ -154,6 +159,7 @@
         )
         membership.on_digests(request.digests)
         self._merge(request.drains, request.leaving, request.splits)
+        self._quarantine.on_report(_decode_crashes(request.crashes))
         newer, digests = membership.compare(
             request.digests, request.is_partial, _MAX_RECORD_BYTES
         )
@@ -169,6 +175,7 @@
             splits=self._splits.encode(
                 request.wanted_splits, _MAX_SPLIT_BYTES
             ),
+            crashes=_encode_crashes(self._quarantine.build_report()),
         )
         if request.drains_hash != reply.drains_hash:
             reply.drains.extend(self._sample_drains())
@@ -199,6 +206,7 @@
             splits=self._splits.encode(
                 self._splits.recent_services(since_ms), _MAX_SPLIT_BYTES
             ),
+            crashes=_encode_crashes(self._quarantine.build_report()),
         )
 
     def _on_reply(
@@ -209,6 +217,7 @@
         membership.on_records(reply.records)
         membership.on_digests(reply.digests)
         self._merge(reply.drains, reply.leaving, reply.splits)
+        self._quarantine.on_report(_decode_crashes(reply.crashes))
         wanted: list[str] = []
         offered: list[str] = []
         if reply.splits_hash != self._splits.versions_hash:
@@ -308,3 +317,31 @@
         names=sorted(leaving.names),
         absent=sorted(leaving.absent),
     )
+
+
+def _encode_crashes(
+    statements: collections.abc.Iterable[quarantines.CrashStatement],
+) -> list[peers_pb2.CrashStatement]:
+    return [
+        peers_pb2.CrashStatement(
+            fingerprint=item.fingerprint,
+            crashes=[
+                peers_pb2.Crash(incarnation=incarnation, age_ms=age_ms)
+                for incarnation, age_ms in item.age_ms_by_crash.items()
+            ],
+            served_age_ms=item.served_age_ms,
+        )
+        for item in statements
+    ]
+
+
+def _decode_crashes(
+    messages: collections.abc.Iterable[peers_pb2.CrashStatement],
+) -> collections.abc.Iterator[quarantines.CrashStatement]:
+    for item in messages:
+        has_served = item.HasField('served_age_ms')
+        yield quarantines.CrashStatement(
+            item.fingerprint,
+            {crash.incarnation: crash.age_ms for crash in item.crashes},
+            item.served_age_ms if has_served else None,
+        )
--- a/wigeonhatch/peers/node.py
+++ b/wigeonhatch/peers/node.py
@@ -24,6 +24,7 @@
 from wigeonhatch.peers import split_store
 from wigeonhatch.peers import startup
 from wigeonhatch.platform import interface
+from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.steering import split as splits
 
 
@@ -111,6 +112,9 @@
         self.store.subscribe(self.membership.configure)
         self.store.subscribe(self.channels.configure)
         self.splits = split_store.SplitStore(clock, hooks.offer_split)
+        self.quarantine = quarantines.QuarantineTable(
+            identity.host, self._find_repeat_hosts, clock
+        )
         selector = peer_selector.PeerSelector(
             identity.host, lambda: self.channels.hosts, rng
         )
@@ -121,6 +125,7 @@
             self.membership,
             self.store,
             self.splits,
+            self.quarantine,
             self.config_gossip,
             self.channels,
             selector,
@@ -189,6 +194,17 @@
             group.start_soon(self.poller.run)
             await self.server.run(self._identity.peer_address, on_started)
 
+    def _find_repeat_hosts(self) -> quarantines.HostView:
+        """Find the hosts at which a repeat of a request may arrive."""
+        known = frozenset((self._identity.host, *self.membership.hosts))
+        live = frozenset(
+            host
+            for host in known
+            if host == self._identity.host
+            or self.membership.is_reachable(host)
+        )
+        return quarantines.HostView(live, known)
+
     def _offer_list(self, hosts: interface.HostList) -> None:
         if hosts.version > self._list_version:
             self._list_version = hosts.version
--- a/wigeonhatch/requests/_target_attempt.py
+++ b/wigeonhatch/requests/_target_attempt.py
@@ -11,7 +11,9 @@
 from wigeonhatch.requests import _response_stream
 from wigeonhatch.requests import dependencies
 from wigeonhatch.requests import model
+from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.targets import client as target_client
+from wigeonhatch.targets import crash_detector
 
 Result = _response_stream.Result
 _RESULT_BY_CODE = {
@@ -36,6 +38,7 @@
         clock: Source of monotonic time.
         slots: Admission to the targets of this host.
         targets: HTTP client of the targets.
+        quarantine: Requests that crash targets.
     """
 
     def __init__(
@@ -43,10 +46,15 @@
         clock: clocks.Clock,
         slots: dependencies.SlotTable,
         targets: target_client.TargetClient,
+        quarantine: quarantines.QuarantineTable,
     ) -> None:
         self._clock = clock
         self._slots = slots
         self._targets = targets
+        self._quarantine = quarantine
+        self._crashes = crash_detector.CrashDetector(
+            targets, quarantine.on_crash, clock
+        )
 
     async def run(
         self,
@@ -64,11 +72,36 @@
         Returns:
             Success once the complete response was sent, or the failure.
         """
-        request = context.request
+        fingerprint = context.request.compute_fingerprint(context.body)
+        quarantined = self._quarantine.check(fingerprint)
+        if quarantined is not None:
+            return outcome.Failure(
+                codes.ResultCode.QUARANTINED, quarantined.reason
+            )
         acquired = await self._acquire(context, wait_ms)
         if isinstance(acquired, outcome.Failure):
             return acquired
         grant = acquired.value
+        self._quarantine.on_start(fingerprint)
+        try:
+            result = await self._send(context, state, grant)
+        finally:
+            self._quarantine.on_end(fingerprint)
+        if isinstance(result, outcome.Success):
+            self._quarantine.on_served(fingerprint)
+        elif result.code in crash_detector.DISCONNECTED_CODES:
+            self._crashes.on_lost(grant.target, 0, fingerprint)
+            if self._quarantine.is_suspect(fingerprint):
+                await self._crashes.wait_examined(grant.target)
+        return result
+
+    async def _send(
+        self,
+        context: model.RequestContext,
+        state: model.AttemptState,
+        grant: dependencies.SlotGrant,
+    ) -> Result:
+        request = context.request
         started_ms = self._clock.now_ms
         result = dependencies.AttemptResult.CANCELLED
         is_released = False
--- a/wigeonhatch/requests/_target_health.py
+++ b/wigeonhatch/requests/_target_health.py
@@ -27,9 +27,6 @@
         codes.ResultCode.TARGET_LOST,
     }
 )
-_DISCONNECTED_CODES = frozenset(
-    {codes.ResultCode.TARGET_LOST, codes.ResultCode.RESPONSE_INCOMPLETE}
-)
 
 
 class TargetHealth:
@@ -92,9 +89,9 @@
                         request.service, pick.is_home, elapsed_ms
                     )
             return
-        is_disconnected = result.code in _DISCONNECTED_CODES
+        is_disconnected = result.code in crash_detector.DISCONNECTED_CODES
         if is_disconnected:
-            self._crashes.on_lost(target, fingerprint)
+            self._crashes.on_lost(name, target.started_ms, fingerprint)
         if result.code is codes.ResultCode.CALLER_GONE:
             self._ejections.on_inconclusive(name)
         elif result.code is codes.ResultCode.TARGET_SHED and (
--- a/wigeonhatch/requests/attempts.py
+++ b/wigeonhatch/requests/attempts.py
@@ -21,6 +21,7 @@
 from wigeonhatch.requests import forward_client
 from wigeonhatch.requests import keys as key_tables
 from wigeonhatch.requests import model
+from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
 
@@ -43,6 +44,7 @@
         targets: HTTP client of the targets.
         keys: Idempotency keys that this incarnation issued.
         forwarder: Forwards requests to other hosts.
+        quarantine: Requests that crash targets.
     """
 
     def __init__(
@@ -54,12 +56,13 @@
         targets: target_client.TargetClient,
         keys: key_tables.KeyTable,
         forwarder: forward_client.ForwardClient,
+        quarantine: quarantines.QuarantineTable,
     ) -> None:
         self._host = host
         self._clock = clock
         self._router = router
         self._target_attempts = _target_attempt.TargetAttempts(
-            clock, slots, targets
+            clock, slots, targets, quarantine
         )
         self._keys = keys
         self._forwarder = forwarder
--- a/wigeonhatch/requests/model.py
+++ b/wigeonhatch/requests/model.py
@@ -12,6 +12,7 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import fingerprint
 from wigeonhatch.requests import headers as fields
 
 
@@ -55,6 +56,23 @@
         text = f'{self.service}\0{self.method}\0{body_length}\0'
         return xxhash.xxh3_128_digest(text.encode() + self.path)
 
+    def compute_fingerprint(self, body: bodies.RequestBody) -> int:
+        """Hash what repeats of the request have in common, at any host.
+
+        Args:
+            body: Body of the request; only its length counts if it is too
+                large to be buffered.
+        """
+        return fingerprint.compute_fingerprint(
+            (
+                self.method.encode(),
+                self.path,
+                self.client.encode(),
+                self.customer.encode(),
+                body.content if body.is_small else b'%d' % body.length,
+            )
+        )
+
 
 class Reply(typing.Protocol):
     """Receiver of the response to a request."""
--- a/wigeonhatch/requests/retry.py
+++ b/wigeonhatch/requests/retry.py
@@ -22,6 +22,7 @@
         codes.ResultCode.DEADLINE_EXCEEDED,
         codes.ResultCode.DEADLINE_EXCEEDED_RUNNING,
         codes.ResultCode.CALLER_GONE,
+        codes.ResultCode.QUARANTINED,
         codes.ResultCode.INVARIANT_VIOLATED,
         codes.ResultCode.INTERNAL,
     }
--- a/wigeonhatch/targets/crash_detector.py
+++ b/wigeonhatch/targets/crash_detector.py
@@ -7,10 +7,15 @@
 import logging
 import typing
 
+from wigeonhatch import clock as clocks
+from wigeonhatch import codes
 from wigeonhatch import log
 from wigeonhatch.requests import fingerprint as fingerprints
-from wigeonhatch.targets import registry
 
+DISCONNECTED_CODES = frozenset(
+    {codes.ResultCode.TARGET_LOST, codes.ResultCode.RESPONSE_INCOMPLETE}
+)
+"""Results of requests whose target may have crashed."""
 _MAX_LOGGED = 8
 _LOG = logging.getLogger(__name__)
 
@@ -35,28 +40,33 @@
     Args:
         connector: Opens connections to targets.
         on_crash: Called for each request that a crashed target was running.
+        clock: Source of monotonic time.
     """
 
-    def __init__(self, connector: Connector, on_crash: OnCrash) -> None:
+    def __init__(
+        self, connector: Connector, on_crash: OnCrash, clock: clocks.Clock
+    ) -> None:
         self._connector = connector
         self._on_crash = on_crash
+        self._clock = clock
         self._lost_by_target: dict[str, list[int]] = {}
         self._task_by_target: dict[str, asyncio.Task[None]] = {}
 
-    def on_lost(self, target: registry.TargetRecord, fingerprint: int) -> None:
+    def on_lost(self, target: str, started_ms: int, fingerprint: int) -> None:
         """Record a request whose target closed or reset the connection.
 
         Args:
-            target: The target.
+            target: Name of the target.
+            started_ms: Start of its process; 0 if unknown.
             fingerprint: Fingerprint of the request.
         """
-        pending = self._lost_by_target.get(target.name)
+        pending = self._lost_by_target.get(target)
         if pending is not None:
             pending.append(fingerprint)
             return
-        self._lost_by_target[target.name] = [fingerprint]
-        self._task_by_target[target.name] = (
-            asyncio.get_running_loop().create_task(self._examine(target))
+        self._lost_by_target[target] = [fingerprint]
+        self._task_by_target[target] = asyncio.get_running_loop().create_task(
+            self._examine(target, started_ms)
         )
 
     async def wait_examined(self, target: str) -> None:
@@ -69,21 +79,21 @@
         if task is not None:
             await asyncio.wait({task})
 
-    async def _examine(self, target: registry.TargetRecord) -> None:
+    async def _examine(self, target: str, started_ms: int) -> None:
         try:
-            has_crashed = await self._connector.refuses_connections(
-                target.name
-            )
+            has_crashed = await self._connector.refuses_connections(target)
         finally:
-            lost = self._lost_by_target.pop(target.name)
-            del self._task_by_target[target.name]
+            lost = self._lost_by_target.pop(target)
+            del self._task_by_target[target]
         if not has_crashed:
             return
+        # Without its start, the time of the crash identifies an incarnation.
+        incarnation = started_ms or self._clock.now_ms
         log.event(
             _LOG,
             'target crashed',
-            target=target.name,
-            incarnation=target.started_ms,
+            target=target,
+            incarnation=incarnation,
             requests=len(lost),
             fingerprints=[
                 fingerprints.format_fingerprint(item)
@@ -91,4 +101,4 @@
             ],
         )
         for fingerprint in lost:
-            self._on_crash(fingerprint, (target.name, target.started_ms))
+            self._on_crash(fingerprint, (target, incarnation))
