Repeat requests that crash targets in the soak

In all seeds with faults, one request below /deadly/ is sent again and again to random hosts, with random numbers of its own; the ledger checks how often it reaches targets later than the convergence time after the third crash.

--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -9,12 +9,15 @@
 import httpcore
 
 from tests.faults import bounds
+from tests.faults import crash_rule
 from tests.faults import fleet as fleets
 from tests.faults import ledger as ledgers
 
 REQUEST_TIMEOUT_MS = 4_000
 LOOKUP_TIMEOUT_S = 1.0
 PROBE_INTERVAL_MS = 400
+DEADLY_PAUSE_MS = 100
+"""Maximum pause between repeats of a request that crashes targets."""
 _METHOD_BY_KIND = {'read': 'GET', 'write': 'POST', 'photo': 'POST'}
 _AFFINITY_KEY_COUNT = 12
 _REUSE_FRACTION = 0.8
@@ -193,6 +196,35 @@
     return outcome
 
 
+async def send_deadly(
+    fleet: fleets.Fleet, kind: str, rng: random.Random
+) -> None:
+    """Send one request that crashes targets to random hosts until cancelled.
+
+    Args:
+        fleet: The fleet.
+        kind: `read` or `write`.
+        rng: Random number generator, whose seed identifies the request.
+    """
+    name = f'{rng.getrandbits(32):x}'
+    content = b'' if kind == 'read' else name.encode() * 20
+    path = f'/{kind}{crash_rule.DEADLY_PATH}{name}'
+    for number in range(1_000_000):
+        host = rng.choice(fleet.hosts)
+        connection = _connect(host.address(fleet.port('caller')))
+        await send(
+            fleet,
+            connection,
+            f'deadly-{name}-{number}',
+            kind,
+            path,
+            content,
+            expects_success=False,
+        )
+        await connection.aclose()
+        await asyncio.sleep(rng.randint(1, DEADLY_PAUSE_MS) / 1_000)
+
+
 async def probe_configuration(fleet: fleets.Fleet, host: fleets.Host) -> None:
     """Probe a host for the newest and for removed routes until cancelled."""
     rng = random.Random(f'probe {host.name}')
--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 import signal
 
 from tests.faults import bounds
+from tests.faults import callers
 from tests.faults import fleet as fleets
 from tests.faults import ledger as ledgers
 from tests.faults import target as targets
@@ -254,6 +256,18 @@
             target.lift_rate_limit()
 
 
+async def repeat_deadly(
+    fleet: fleets.Fleet, rng: random.Random, seconds: float
+) -> None:
+    """Send a request that crashes targets again and again for some time."""
+    await asyncio.sleep(rng.uniform(0.0, seconds / 2))
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await callers.send_deadly(
+                fleet, rng.choice(('read', 'write')), rng
+            )
+
+
 async def restore_store(
     fleet: fleets.Fleet, rng: random.Random, seconds: float
 ) -> None:
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -279,11 +279,14 @@
         self.register(target)
         return target
 
-    def _on_crash(self, target: targets.Target) -> None:
-        """Replace a target that a request has crashed, after some time."""
+    def _on_crash(self, target: targets.Target, content: str) -> None:
+        """Crash a target unless it leaves already, and replace it later."""
         if target not in self.targets:
             return
         self.targets.remove(target)
+        target.proxy.close()
+        target.close()
+        self.ledger.crash_rule.on_crash(content, self.clock.now_ms)
         now_ms = self.clock.now_ms
         self.disturb((target.name,), now_ms, now_ms + RESTART_MS)
         task = asyncio.ensure_future(self._replace(target))
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -110,6 +110,7 @@
         targets_per_service: Number of targets of each service.
     """
     rng = random.Random(seed)
+    planned_only = seed % _PLANNED_ONLY_INTERVAL == 0
     fleet = fleets.Fleet(folder, hosts, random.Random(seed))
     tasks: list[asyncio.Task[None]] = []
     try:
@@ -120,6 +121,15 @@
             # A random number generator of its own keeps the other events of
             # a seed.
             events.limit_rates(fleet, random.Random(f'{seed}/rates')),
+            *(
+                []
+                if planned_only
+                else [
+                    events.repeat_deadly(
+                        fleet, random.Random(f'{seed}/deadly'), seconds
+                    )
+                ]
+            ),
             *(fleet.restart_on_exit(host) for host in fleet.hosts),
             *(
                 callers.Caller(n, fleet, 100).run()
@@ -132,7 +142,6 @@
         ]
         tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
         await asyncio.sleep(bounds.CONVERGENCE_MS / 2_000)
-        planned_only = seed % _PLANNED_ONLY_INTERVAL == 0
         event_names = await _run_events(
             fleet, rng, seconds, planned_only, f'{seed}/restores'
         )
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -52,7 +52,7 @@
         ledger: Records its requests.
         clock: Clock of the soak test.
         rng: Random number generator.
-        on_crash: Called when a request has crashed the target.
+        on_crash: Called with the content of a request that crashes it.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         ledger: ledgers.Ledger,
         clock: clocks.Clock,
         rng: random.Random,
-        on_crash: collections.abc.Callable[[Target], None],
+        on_crash: collections.abc.Callable[[Target, str], None],
     ) -> None:
         self.name = name
         self.service = service
@@ -108,13 +108,6 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def _crash(self, content: str) -> None:
-        """Refuse connections from now on, and reset the open ones."""
-        self._ledger.crash_rule.on_crash(content, self._clock.now_ms)
-        self.proxy.close()
-        self.close()
-        self._on_crash(self)
-
     @property
     def is_healthy(self) -> bool:
         """Whether no fault is injected."""
@@ -202,7 +195,7 @@
             faults = self.faults
             if is_deadly:
                 await asyncio.sleep(CRASH_DELAY_MS / 1_000)
-                self._crash(content)
+                self._on_crash(self, content)
                 return False
             await asyncio.sleep(SERVICE_MS * faults.slowdown / 1_000)
         finally:
--- a/tests/faults/test_crashing_requests.py
+++ b/tests/faults/test_crashing_requests.py
@@ -7,12 +7,10 @@
 import pathlib
 import random
 
-import httpcore
 import pytest
 
 from tests.faults import bounds
 from tests.faults import callers
-from tests.faults import crash_rule
 from tests.faults import fleet as fleets
 from tests.faults import run
 
@@ -20,33 +18,7 @@
 CALLERS = 12
 TARGETS_PER_SERVICE = 8
 MAX_PAUSE_MS = 100
-DEADLY_PAUSE_MS = 150
 DEADLY_S = 2 * bounds.CONVERGENCE_MS / 1_000 + 2
-BODY_BY_KIND = {'read': b'', 'write': b'x' * 200}
-
-
-async def _send_deadly(fleet: fleets.Fleet, kind: str) -> None:
-    """Send the same request to random hosts until cancelled."""
-    rng = random.Random(2)
-    for number in range(1_000_000):
-        for attempt in range(2):
-            host = rng.choice(fleet.hosts)
-            origin = httpcore.Origin(
-                b'http', host.ip.encode(), fleet.port('caller')
-            )
-            async with httpcore.AsyncHTTPConnection(origin) as connection:
-                outcome = await callers.send(
-                    fleet,
-                    connection,
-                    f'deadly-{number}-{attempt}',
-                    kind,
-                    f'/{kind}{crash_rule.DEADLY_PATH}x',
-                    BODY_BY_KIND[kind],
-                    expects_success=False,
-                )
-            if kind == 'write' and outcome.status == 502:
-                break
-        await asyncio.sleep(rng.randint(1, DEADLY_PAUSE_MS) / 1_000)
 
 
 async def _run_with_deadly(folder: pathlib.Path, kind: str) -> None:
@@ -62,7 +34,8 @@
             for number in range(CALLERS)
         ]
         await asyncio.sleep(bounds.CONVERGENCE_MS / 1_000)
-        tasks.append(asyncio.ensure_future(_send_deadly(fleet, kind)))
+        deadly = callers.send_deadly(fleet, kind, random.Random(2))
+        tasks.append(asyncio.ensure_future(deadly))
         await asyncio.sleep(DEADLY_S)
         for task in tasks:
             if task.done():
@@ -83,7 +56,7 @@
     assert all(request_id.startswith('deadly') for request_id in refused)
 
 
-@pytest.mark.parametrize('kind', BODY_BY_KIND)
+@pytest.mark.parametrize('kind', ['read', 'write'])
 def test_request_that_crashes_targets_is_not_sent_on(
     tmp_path: pathlib.Path, kind: str
 ) -> None:
--- a/tests/faults/test_ledger.py
+++ b/tests/faults/test_ledger.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.faults import bounds
+from tests.faults import crash_rule
 from tests.faults import ledger as ledgers
 from tests.faults import rate_rule
 
@@ -180,3 +181,27 @@
         rule.on_arrival('t1', 'h1', 8_000 + number) for number in range(sent)
     ]
     assert any(violations) is is_violation
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'arrivals', 'after_ms', 'is_violation'),
+    [
+        (3, 4, bounds.CONVERGENCE_MS + 1, True),
+        (3, 3, bounds.CONVERGENCE_MS + 1, False),
+        (3, 4, bounds.CONVERGENCE_MS, False),
+        (2, 4, bounds.CONVERGENCE_MS + 1, False),
+    ],
+)
+def test_sends_of_a_crashing_request(
+    crashes: int, arrivals: int, after_ms: int, is_violation: bool
+) -> None:
+    """Guards against a rule that misses, or counts what is allowed."""
+    rule = crash_rule.CrashRule()
+    for number in range(crashes):
+        rule.on_crash(CONTENT, NOW_MS + number)
+    rule.on_crash('other', NOW_MS)
+    violations = [
+        rule.on_arrival(CONTENT, NOW_MS + crashes - 1 + after_ms)
+        for _ in range(arrivals)
+    ]
+    assert any(violations) is is_violation
