--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -27,6 +27,7 @@
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_settings
+from wigeonhatch.entry import edge_stop
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import http_server
 from wigeonhatch.entry import runner
@@ -50,16 +51,11 @@
 the request can be retried at another target afterwards."""
 RETRY_FRACTION = 0.5
 """Fraction of the agreed retries to use, since counts differ among hosts."""
-EXIT_MARGIN_MS = 400
-"""Time before the forced termination at which the process exits itself."""
 KEEP_ALIVE_MARGIN_S = 1.0
 """Margin on the idle timeout of callers' connections. A caller that observes
 the timeout never sends a request on a connection that the host closes."""
-MIN_REQUEST_TIME_MS = 2_500
-"""Minimum time before the forced termination for a request to be accepted."""
 DIRECTORY_TTL_MS = 2_000
 """TTL of a lookup result; callers stop using a stopped host after it."""
-_POLL_MS = 50
 _LOG = logging.getLogger(__name__)
 
 ReadSettings = collections.abc.Callable[
@@ -225,7 +221,16 @@
                 signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as signals:
                 await self._handle_signals(signals)
-                await self._stop(servers)
+                self._is_stopping = True
+                self._relay.is_stopping = True
+                await edge_stop.stop_gracefully(
+                    [self._application],
+                    servers,
+                    self._fleet.leave,
+                    DIRECTORY_TTL_MS,
+                    self._settings.bounds.stop_grace,
+                    self._clock,
+                )
             tasks.cancel_scope.cancel()
         self._fleet.close()
         log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
@@ -271,40 +276,6 @@
         )
         self._fleet.add_seeds(settings.seeds)
 
-    async def _stop(
-        self, servers: collections.abc.Sequence[http_server.HttpServer]
-    ) -> None:
-        """Withdraw from the lookups and finish the requests in progress.
-
-        Callers with an earlier lookup result are served until its TTL has
-        expired and the host is idle, or until the time left is too short for
-        a request. Later requests are refused as not run.
-        """
-        clock = self._clock
-        application = self._application
-        started_ms = clock.now_ms
-        self._is_stopping = True
-        application.is_stopping = True
-        self._relay.is_stopping = True
-        end_ms = started_ms + self._settings.bounds.stop_grace - EXIT_MARGIN_MS
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._fleet.leave)
-            while clock.now_ms < end_ms - MIN_REQUEST_TIME_MS:
-                is_expired = clock.now_ms - started_ms > DIRECTORY_TTL_MS
-                if is_expired and not application.in_progress:
-                    break
-                await clock.sleep_ms(_POLL_MS)
-            application.is_refusing = True
-            while application.in_progress and clock.now_ms < end_ms:
-                await clock.sleep_ms(_POLL_MS)
-            tasks.cancel_scope.cancel()
-        for server in servers:
-            server.should_exit = True
-        while application.in_progress and clock.now_ms < end_ms:
-            await clock.sleep_ms(_POLL_MS)
-        # Lets the servers close their idle connections.
-        await clock.sleep_ms(EXIT_MARGIN_MS // 2)
-
     async def _run_adjustments(self) -> None:
         while True:
             await self._clock.sleep_ms(region_split.ADJUST_INTERVAL_MS)
--- /dev/null
+++ b/wigeonhatch/entry/edge_stop.py
@@ -0,0 +1,80 @@
+"""Graceful stop of an edge daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import anyio
+
+from wigeonhatch import clock as clocks
+
+EXIT_MARGIN_MS = 400
+"""Time before the forced termination at which the process exits itself."""
+MIN_REQUEST_TIME_MS = 2_500
+"""Minimum time before the forced termination for a request to be accepted."""
+_POLL_MS = 50
+
+
+class Application(typing.Protocol):
+    """Application whose requests are finished."""
+
+    in_progress: int
+    is_stopping: bool
+    is_refusing: bool
+
+
+class Server(typing.Protocol):
+    """Server that ends once its requests have ended."""
+
+    should_exit: bool
+
+
+async def stop_gracefully(
+    applications: collections.abc.Sequence[Application],
+    servers: collections.abc.Sequence[Server],
+    leave: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ttl_ms: int,
+    grace_ms: int,
+    clock: clocks.Clock,
+) -> None:
+    """Withdraw from the lookups and finish the requests in progress.
+
+    Callers with an earlier lookup result are served until its TTL has expired
+    and the host is idle, or until the time left is too short for a request.
+    Later requests are refused as not run.
+
+    Args:
+        applications: Applications that receive requests.
+        servers: Servers of the host.
+        leave: Withdraws the host from the lookups.
+        ttl_ms: TTL of a lookup result in ms.
+        grace_ms: Time until the forced termination in ms.
+        clock: Clock of the host.
+    """
+    started_ms = clock.now_ms
+    end_ms = started_ms + grace_ms - EXIT_MARGIN_MS
+    for application in applications:
+        application.is_stopping = True
+
+    def count_requests() -> int:
+        return sum(item.in_progress for item in applications)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(leave)
+        while clock.now_ms < end_ms - MIN_REQUEST_TIME_MS:
+            is_expired = clock.now_ms - started_ms > ttl_ms
+            if is_expired and not count_requests():
+                break
+            await clock.sleep_ms(_POLL_MS)
+        for application in applications:
+            application.is_refusing = True
+        while count_requests() and clock.now_ms < end_ms:
+            await clock.sleep_ms(_POLL_MS)
+        tasks.cancel_scope.cancel()
+    for server in servers:
+        server.should_exit = True
+    while count_requests() and clock.now_ms < end_ms:
+        await clock.sleep_ms(_POLL_MS)
+    # Lets the servers close their idle connections.
+    await clock.sleep_ms(EXIT_MARGIN_MS // 2)
