Detect that a host has lost its links to targets

When requests do not reach two targets within 2 s, the host opens connections to six others. If none is established in two rounds, it logs "targets unreachable", and its state and a metric say so; "targets reached again" ends it. Nothing depends on it yet.

--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import random
 
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import ejection
@@ -15,6 +16,7 @@
 from wigeonhatch.requests import quarantine
 from wigeonhatch.routes import model
 from wigeonhatch.targets import crash_detector
+from wigeonhatch.targets import reach as target_reach
 from wigeonhatch.targets import registry
 
 REGION_BY_DOMAIN = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
@@ -107,6 +109,18 @@
             connector, self.quarantine.on_crash, self.clock
         )
 
+    def build_reach(
+        self, connector: target_reach.Connector
+    ) -> target_reach.TargetReach:
+        """Build a detector of lost links."""
+        return target_reach.TargetReach(
+            connector,
+            lambda: (list(self.targets.record_by_name), []),
+            lambda: None,
+            self.clock,
+            random.Random(1),
+        )
+
     def pick(
         self,
         affinity_key: bytes = b'k',
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -116,6 +116,7 @@
             typing.cast(typing.Any, self.client),
             self.scene.quarantine,
             self.scene.detect_crashes(self.client),
+            self.scene.build_reach(self.client),
             lambda: retry.RetryBudget(0, lambda: retries),
             self.scene.clock,
         )
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -44,6 +44,7 @@
 from wigeonhatch.routes import table as tables
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import crash_detector
+from wigeonhatch.targets import reach as target_reach
 from wigeonhatch.targets import registry
 
 CONNECT_TIMEOUT_MS = 300
@@ -135,11 +136,15 @@
         self._metrics.set_selection_counters(
             lambda: self._regions.count_by_selection
         )
+        self._metrics.set_reach(lambda: not self._reach.is_lost)
         self._client = target_client.TargetClient(
             clock,
             accepts_close_delimited=True,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
+        self._reach = target_reach.TargetReach(
+            self._client, self._list_targets, lambda: None, clock, self._rng
+        )
         self._catalog = catalogs.Catalog(
             self._routes,
             self._targets,
@@ -163,6 +168,7 @@
             crash_detector.CrashDetector(
                 self._client, self._quarantine.on_crash, clock
             ),
+            self._reach,
             self._build_retry_budget,
             clock,
         )
@@ -215,6 +221,7 @@
             tasks.start_soon(self._fleet.join)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._run_adjustments)
+            tasks.start_soon(self._reach.run)
             # The default action of a signal that arrives during the stop would
             # end the process.
             with anyio.open_signal_receiver(
@@ -245,6 +252,7 @@
             weight=self._link_weight.weight,
             config_version=0 if config is None else config.version,
             changed_by_table=follower.changed_by_table,
+            reaches_targets=not self._reach.is_lost,
         )
 
     async def _handle_signals(
@@ -331,6 +339,15 @@
         slack = self._settings.bounds.retry_slack * RETRY_FRACTION
         return max(1, int(slack / host_count))
 
+    def _list_targets(self) -> tuple[list[str], list[str]]:
+        """Names of the targets in this host's region, and of the others."""
+        names: tuple[list[str], list[str]] = ([], [])
+        for record in self._targets.record_by_name.values():
+            region = self._picker.region_of(record.domain)
+            if not record.is_draining:
+                names[region != self._settings.region].append(record.name)
+        return names
+
     def _find_target_region(self, name: str) -> str:
         record = self._targets.record_by_name.get(name)
         return '' if record is None else self._picker.region_of(record.domain)
--- a/wigeonhatch/entry/edge_stop.py
+++ b/wigeonhatch/entry/edge_stop.py
@@ -33,7 +33,9 @@
 async def stop_gracefully(
     applications: collections.abc.Sequence[Application],
     servers: collections.abc.Sequence[Server],
-    leave: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    leave: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ],
     ttl_ms: int,
     grace_ms: int,
     clock: clocks.Clock,
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -80,6 +80,7 @@
         self._gauge_source: GaugeSource | None = None
         self._read_control_counters: ReadCounters | None = None
         self._read_selections: ReadSelections | None = None
+        self._read_reach: collections.abc.Callable[[], bool] | None = None
         self._window_start_ms = clock.now_ms
         self._histogram = histogram.HdrHistogram(
             1, MAX_LATENCY_US, _SIGNIFICANT_DIGITS
@@ -115,6 +116,14 @@
         """
         self._read_selections = read
 
+    def set_reach(self, read: collections.abc.Callable[[], bool]) -> None:
+        """Set the state of the links to targets to read at each collection.
+
+        Args:
+            read: Returns whether the host reaches targets.
+        """
+        self._read_reach = read
+
     def on_request(
         self,
         service: str,
@@ -186,6 +195,12 @@
             )
         if self._read_selections is not None:
             yield _selections(self._read_selections())
+        if self._read_reach is not None:
+            yield core.GaugeMetricFamily(
+                'wigeonhatch_reaches_targets',
+                'Whether the host can open connections to targets.',
+                value=int(self._read_reach()),
+            )
         violations = collections.Counter(self._violations)
         if self._gauge_source is not None:
             violations.update(self._gauge_source.violations())
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -44,6 +44,7 @@
         config_version: Version of the routing configuration in force.
         changed_by_table: Store version of the newest change that it has
             received, by table of the platform's store.
+        reaches_targets: Whether it can open connections to targets.
     """
 
     is_serving: bool
@@ -52,6 +53,7 @@
     weight: float
     config_version: int
     changed_by_table: dict[str, int]
+    reaches_targets: bool = True
 
 
 class HostState(msgspec.Struct, frozen=True, array_like=True):
--- a/wigeonhatch/requests/_target_health.py
+++ b/wigeonhatch/requests/_target_health.py
@@ -11,6 +11,7 @@
 from wigeonhatch.requests import relay_model
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import crash_detector
+from wigeonhatch.targets import reach as target_reach
 
 _SERVER_ERROR = 500
 _RESPONDED_CODES = frozenset(
@@ -28,6 +29,10 @@
     }
 )
 
+_UNREACHED_CODES = _UNRESPONSIVE_CODES | {
+    codes.ResultCode.TARGET_CONNECT_FAILED
+}
+
 
 class TargetHealth:
     """Update the health of targets and their usual durations.
@@ -38,6 +43,7 @@
         quarantine: Requests that crash targets.
         crashes: Detects crashes of targets.
         client: HTTP client of the targets.
+        reach: Detects that this host cannot reach the targets.
     """
 
     def __init__(
@@ -47,12 +53,14 @@
         quarantine: quarantines.QuarantineTable,
         crashes: crash_detector.CrashDetector,
         client: target_client.TargetClient,
+        reach: target_reach.TargetReach,
     ) -> None:
         self._loads = load_table
         self._ejections = ejections
         self._quarantine = quarantine
         self._crashes = crashes
         self._client = client
+        self._reach = reach
 
     def on_result(
         self,
@@ -108,3 +116,5 @@
             )
         if result.code in _UNRESPONSIVE_CODES:
             self._client.close_idle(name)
+        if result.code in _UNREACHED_CODES:
+            self._reach.on_unreached(name)
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -32,6 +32,7 @@
 from wigeonhatch.requests import retry
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import crash_detector
+from wigeonhatch.targets import reach as target_reach
 from wigeonhatch.targets import registry
 
 MIN_ATTEMPT_MS = 20
@@ -60,6 +61,7 @@
         client: HTTP client of the targets.
         quarantine: Requests that crash targets.
         crashes: Detects crashes of targets.
+        reach: Detects that this host cannot reach the targets.
         build_budget: Builds the retry budget of a service.
         clock: Source of monotonic time.
     """
@@ -76,6 +78,7 @@
         client: target_client.TargetClient,
         quarantine: quarantines.QuarantineTable,
         crashes: crash_detector.CrashDetector,
+        reach: target_reach.TargetReach,
         build_budget: collections.abc.Callable[[], retry.RetryBudget],
         clock: clocks.Clock,
     ) -> None:
@@ -91,7 +94,7 @@
         self._quarantine = quarantine
         self._crashes = crashes
         self._health = _target_health.TargetHealth(
-            load_table, ejections, quarantine, crashes, client
+            load_table, ejections, quarantine, crashes, client, reach
         )
         self._clock = clock
         self._buffered = response_buffer.BufferedBytes()
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -230,6 +230,28 @@
         _resolve(future, True)
 
 
+_Protocol = typing.TypeVar('_Protocol', bound=asyncio.BaseProtocol)
+
+
+async def open_connection(
+    build_protocol: collections.abc.Callable[[], _Protocol],
+    host: str,
+    port: int,
+) -> tuple[asyncio.Transport, _Protocol]:
+    """Open a TCP connection.
+
+    Args:
+        build_protocol: Builds the protocol of the connection.
+        host: IP address.
+        port: TCP port.
+
+    Raises:
+        OSError: The connection was refused or failed.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_connection(build_protocol, host, port)
+
+
 class StreamBackend(httpcore.AsyncNetworkBackend):
     """Open the single connection of an httpcore connection object."""
 
@@ -261,7 +283,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
-                _, stream = await loop.create_connection(
+                _, stream = await open_connection(
                     lambda: TargetStream(loop), host, port
                 )
         except TimeoutError as error:
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -13,6 +13,7 @@
 from wigeonhatch import outcome
 from wigeonhatch.targets import _errors
 from wigeonhatch.targets import _pool
+from wigeonhatch.targets import _stream
 from wigeonhatch.targets import request
 from wigeonhatch.targets import response as responses
 
@@ -114,22 +115,35 @@
             Whether the target's machine answered that nothing listens there;
             False also if there was no answer.
         """
+        return isinstance(await self._probe(target), ConnectionRefusedError)
+
+    async def accepts_connections(self, target: str) -> bool:
+        """Open a connection to a target and close it.
+
+        Args:
+            target: Name of the target.
+
+        Returns:
+            Whether the connection was established in time.
+        """
+        return await self._probe(target) is None
+
+    async def _probe(self, target: str) -> OSError | None:
+        """Open a connection and close it; return what went wrong."""
         pool = self._pool_by_target.get(target)
         if pool is None:
-            return False
-        host, port = pool.origin.host.decode(), pool.origin.port
-        loop = asyncio.get_running_loop()
+            return OSError(f'target {target} is not configured')
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1_000):
-                transport, _ = await loop.create_connection(
-                    asyncio.Protocol, host, port
+                transport, _ = await _stream.open_connection(
+                    asyncio.Protocol,
+                    pool.origin.host.decode(),
+                    pool.origin.port,
                 )
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+        except OSError as error:
+            return error
         transport.abort()
-        return False
+        return None
 
     def close(self) -> None:
         """Close idle connections now, and the others after their requests."""
