Count probes of targets that end at different times

The number of established connections was read before each wait and written after it, so that probes overwrote each other's result.

tests/targets/test_reach.py lets connections take different times; without the change it does not end, as the host never returns.

--- a/tests/targets/test_reach.py
+++ b/tests/targets/test_reach.py
@@ -33,6 +33,8 @@
     async def accepts_connections(self, target: str) -> bool:
         """Open a connection to a target."""
         self.probe_count += 1
+        # Connections are established at different times.
+        await anyio.sleep(0.001 * (self.probe_count % 3))
         return target in self.reached
 
     def _on_reached(self) -> None:
--- a/wigeonhatch/targets/reach.py
+++ b/wigeonhatch/targets/reach.py
@@ -126,19 +126,19 @@
         if not names:
             self._failed_rounds = 0
             return
-        reached = 0
+        reached: set[str] = set()
 
         async def connect(name: str) -> None:
-            nonlocal reached
-            reached += await self._connector.accepts_connections(name)
+            if await self._connector.accepts_connections(name):
+                reached.add(name)
 
         async with anyio.create_task_group() as tasks:
             for name in names:
                 tasks.start_soon(connect, name)
         if self.is_lost:
-            self._check_return(reached, len(names))
+            self._check_return(len(reached), len(names))
         else:
-            self._check_loss(reached, len(names))
+            self._check_loss(len(reached), len(names))
 
     def _sample(self) -> list[str]:
         near, far = self._list_targets()
