Reproduce callers that suffer from the links of their host

Seven daemons lose the links to all targets in their own process: connections hang, are reset, or stay while new ones are refused; one host, a domain or a region. A third of the callers keeps the first lookup.

--- a/tests/faults/bounds.py
+++ b/tests/faults/bounds.py
@@ -38,6 +38,11 @@
 MAX_LATE_SENDS = 3
 """Maximum sends of a request, later than the convergence time after it has
 crashed `FREE_CRASHES` targets."""
+MIN_SERVED_RATIO = 2 / 3
+"""Minimum served fraction at hosts without links to targets, relative to the
+others; it applies if more requests fail than the two values below allow."""
+UNSERVED_AT_CUT = 10
+UNSERVED_AT_CUT_RATIO = 0.02
 LOOKUP_LAG_MS = 3_000
 """Time beyond convergence after which lookups must omit a killed host."""
 MAX_LOST = 3
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -42,10 +42,15 @@
         number: Index of the caller.
         fleet: The fleet.
         pause_ms: Maximum pause between requests, in ms.
+        keeps_lookup: Whether it uses the first lookup for ever.
     """
 
     def __init__(
-        self, number: int, fleet: fleets.Fleet, pause_ms: int
+        self,
+        number: int,
+        fleet: fleets.Fleet,
+        pause_ms: int,
+        keeps_lookup: bool = False,
     ) -> None:
         self._name = f'c{number}'
         self._fleet = fleet
@@ -55,6 +60,7 @@
         self._region = fleets.REGION_BY_DOMAIN[self._domain]
         self._addresses: list[str] = []
         self._expires_ms = 0
+        self._keeps_lookup = keeps_lookup
         self._idle_by_address: dict[str, httpcore.AsyncHTTPConnection] = {}
         self._request_count = 0
 
@@ -62,7 +68,8 @@
         """Send requests until cancelled."""
         while True:
             await asyncio.sleep(self._rng.randint(1, self._pause_ms) / 1_000)
-            if self._fleet.clock.now_ms >= self._expires_ms:
+            is_expired = self._fleet.clock.now_ms >= self._expires_ms
+            if is_expired and not (self._keeps_lookup and self._addresses):
                 await self._refresh_lookup()
             if self._addresses:
                 await self._send_request(self._rng.choice(self._addresses))
--- a/tests/faults/skewed.py
+++ b/tests/faults/skewed.py
@@ -1,6 +1,6 @@
-"""Run the program with an offset of the wall clock.
+"""Run the program with an offset of the wall clock and faulty links.
 
-`python -m tests.faults.skewed OFFSET_MS ARGUMENT...`
+`python -m tests.faults.skewed OFFSET_MS edge SETTINGS`
 """
 
 from __future__ import annotations
@@ -9,14 +9,17 @@
 import sys
 import time
 
+from tests.faults import links
+
 _NS_PER_MS = 1_000_000
 
 
 def main() -> None:
-    """Patch the wall clock and run the program."""
+    """Patch the wall clock and the links, and run the program."""
     offset_ns = int(sys.argv[1]) * _NS_PER_MS
     original_time_ns = time.time_ns
     time.time_ns = lambda: original_time_ns() + offset_ns
+    links.install(sys.argv[-1])
     sys.argv[:2] = ['wigeonhatch']
     runpy.run_module('wigeonhatch', run_name='__main__')
 
