--- a/tests/targets/test_reach.py
+++ b/tests/targets/test_reach.py
@@ -11,6 +11,7 @@
 from wigeonhatch.targets import reach as target_reach
 
 NEAR = [f'n{number}' for number in range(4)]
+MAX_ROUNDS = 200
 FAR = [f'f{number}' for number in range(8)]
 
 
@@ -53,6 +54,7 @@
         while self.reach.is_lost:
             self.probe()
             rounds += 1
+            assert rounds < MAX_ROUNDS
         return rounds
 
     def lose(self) -> None:
