Name no hosts in lookups that do not reach the targets

Lookups now leave it out, unless no host reaches targets; hosts that can send divide warm-up and rate limits.

--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self.is_serving = True
         self.reaches_store = True
+        self.reaches_targets = True
         self.peer_changes: list[dict[str, int]] = []
         self.clock = clocks.ManualClock()
         self.loads = loads.LoadTable(self.clock)
@@ -70,7 +71,13 @@
     def report(self) -> state_link.HostReport:
         """Status that this host reports about itself."""
         return state_link.HostReport(
-            self.is_serving, self.reaches_store, 0, 1.0, 3, {'op': 4}
+            self.is_serving,
+            self.reaches_store,
+            0,
+            1.0,
+            3,
+            {'op': 4},
+            self.reaches_targets,
         )
 
     def receive_state(
@@ -81,6 +88,7 @@
         sequence: int = 1,
         reaches_store: bool = True,
         weight: float = 1.0,
+        reaches_targets: bool = True,
     ) -> None:
         """Receive the state of a peer."""
         ip = f'10.0.0.{host[1:]}'
@@ -92,7 +100,13 @@
             region,
             f'{ip}:80',
             state_link.HostReport(
-                is_serving, reaches_store, 0, weight, 3, {'op': 9}
+                is_serving,
+                reaches_store,
+                0,
+                weight,
+                3,
+                {'op': 9},
+                reaches_targets,
             ),
             {'t1': 2},
         )
@@ -116,6 +130,26 @@
     assert select('a', 'c1') == []
 
 
+def test_lookup_omits_hosts_that_do_not_reach_targets() -> None:
+    """Guards against callers that are sent to a host without links.
+
+    A region without other hosts is served by other regions; if no host
+    reaches targets, the targets are at fault and all hosts stay.
+    """
+    harness = _FleetHarness()
+    harness.receive_state('h2', 'a', reaches_targets=False)
+    harness.receive_state('h3', 'b')
+    select = harness.fleet.select_addresses
+    assert select('a', 'c1') == ['10.0.0.1:80']
+    assert harness.fleet.sending_hosts() == frozenset({'h1', 'h3'})
+    assert harness.fleet.find_senders('a1').live == frozenset({'h1'})
+    harness.reaches_targets = False
+    assert select('a', 'c1') == ['10.0.0.3:80']
+    harness.receive_state('h3', 'b', reaches_targets=False, sequence=2)
+    assert set(select('a', 'c1')) == {'10.0.0.1:80', '10.0.0.2:80'}
+    assert harness.fleet.sending_hosts() == frozenset({'h1'})
+
+
 def test_serving_hosts_of_the_region_send_to_limited_targets() -> None:
     """Guards against owners that send no requests, or whole rates in parts."""
     harness = _FleetHarness()
--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -151,6 +151,10 @@
             failure_ratio=round(health.failure_ratio, 2),
         )
 
+    def clear(self) -> None:
+        """Readmit all targets, since failures were not their own."""
+        self._health_by_target.clear()
+
     def retain(self, targets: frozenset[str]) -> None:
         """Discard the results of targets that are no longer listed.
 
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -110,7 +110,7 @@
             clock,
         )
         self._warmups = warmup.WarmupBudget(
-            settings.host, clock, self._fleet.live_hosts
+            settings.host, clock, self._fleet.sending_hosts
         )
         self._rates = rate_budget.RateBudget(
             settings.host, self._limits, self._fleet.find_senders, clock
@@ -143,7 +143,11 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
         self._reach = target_reach.TargetReach(
-            self._client, self._list_targets, lambda: None, clock, self._rng
+            self._client,
+            self._list_targets,
+            self._ejections.clear,
+            clock,
+            self._rng,
         )
         self._catalog = catalogs.Catalog(
             self._routes,
@@ -249,7 +253,7 @@
             is_serving=self.is_serving,
             reaches_store=follower.is_connected and not self._is_stopping,
             followed_ms=follower.followed_ms,
-            weight=self._link_weight.weight,
+            weight=self._link_weight.weight * self._reach.return_weight,
             config_version=0 if config is None else config.version,
             changed_by_table=follower.changed_by_table,
             reaches_targets=not self._reach.is_lost,
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -248,6 +248,18 @@
             (self._settings.host, *(s.host for s in self.peers.live_states()))
         )
 
+    def sending_hosts(self) -> frozenset[str]:
+        """Names of the reachable hosts that can send requests to targets."""
+        own = self._settings.host
+        hosts = {
+            state.host
+            for state in self.peers.live_states()
+            if state.report.reaches_targets
+        }
+        if self._report().reaches_targets or not hosts:
+            hosts.add(own)
+        return frozenset(hosts)
+
     def find_repeat_hosts(self) -> quarantines.HostView:
         """Find the hosts at which a repeat of a request may arrive."""
         live = self.live_hosts()
@@ -272,9 +284,10 @@
         serving = {
             state.host: state.region
             for state in states
-            if state.report.is_serving
+            if state.report.is_serving and state.report.reaches_targets
         }
-        if self._report().is_serving:
+        report = self._report()
+        if report.is_serving and (report.reaches_targets or not serving):
             serving[own.host] = own.region
         silent = {
             host: region
@@ -303,18 +316,27 @@
 
         Returns:
             Addresses of serving hosts in the region, or in all if it has none.
+            Hosts that do not reach the targets are left out, unless no host
+            does.
         """
+        own = self._settings
+        serving = [
+            (region, address, report)
+            for region, address, report in (
+                (own.region, own.caller_address, self._report()),
+                *(
+                    (state.region, state.caller_address, state.report)
+                    for state in self.peers.live_states()
+                ),
+            )
+            if report.is_serving
+        ]
+        reaching = [item for item in serving if item[2].reaches_targets]
         weights_by_region: dict[str, dict[str, float]] = (
             collections.defaultdict(dict)
         )
-        for state in self.peers.live_states():
-            if state.report.is_serving:
-                weights = weights_by_region[state.region]
-                weights[state.caller_address] = state.report.weight
-        report = self._report()
-        if report.is_serving:
-            own = self._settings
-            weights_by_region[own.region][own.caller_address] = report.weight
+        for host_region, address, report in reaching or serving:
+            weights_by_region[host_region][address] = report.weight
         if region in weights_by_region:
             return host_weight.select_hosts(weights_by_region[region], caller)
         return [
