Forward requests of hosts that do not reach the targets

Cause: a host could tell neither that its own links were lost nor pass a request on. It ejected its targets one after the other and refused, or waited until deadlines.

Such a host now forwards requests over HTTP to serving peers that reach the targets, in its region first and within the allowed regions of the route. The peer gets the time and the attempts that are left and the version of the configuration it has to have, runs the request with its own limits, does not forward it again, and says whether it ran. Peers take these requests over TCP on peer_port.

--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -13,8 +13,10 @@
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
+from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine
 from wigeonhatch.routes import model
+from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import crash_detector
 from wigeonhatch.targets import reach as target_reach
 from wigeonhatch.targets import registry
@@ -121,6 +123,12 @@
             random.Random(1),
         )
 
+    def build_forwarder(self) -> peer_forwarder.PeerForwarder:
+        """Build a forwarder without peers."""
+        return peer_forwarder.PeerForwarder(
+            target_client.TargetClient(self.clock), lambda _: (), self.clock
+        )
+
     def pick(
         self,
         affinity_key: bytes = b'k',
--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 import anyio
@@ -35,7 +36,7 @@
         return self.result
 
 
-class _Call:
+class Call:
     """One request and its response."""
 
     def __init__(
@@ -43,6 +44,8 @@
         result: relay_model.Response | relay_model.Refusal,
         path: str = '/a/x',
         version: int = 1,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
+        is_for_peers: bool = False,
     ) -> None:
         self.relay = _Relay(result)
         routes = tables.RouteTable()
@@ -55,13 +58,15 @@
             lambda target: 'north',
             lambda *arguments: None,
             clocks.ManualClock(),
+            is_for_peers,
         )
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = b''
         self._path = path
+        self._headers = headers
 
-    def run(self) -> _Call:
+    def run(self) -> Call:
         """Serve the request."""
         anyio.run(self._run)
         return self
@@ -76,6 +81,7 @@
                 (b'host', b'x.example'),
                 (b'request-id', b'r1'),
                 (b'deadline-ms', b'1200'),
+                *self._headers,
             ],
         }
 
@@ -105,7 +111,7 @@
 
 def test_response_is_forwarded_with_its_length() -> None:
     """Guards against a response that differs from the target's."""
-    call = _Call(RELAYED).run()
+    call = Call(RELAYED).run()
     assert (call.status, call.body) == (201, b'body')
     assert call.headers == {b'x-a': b'b', b'content-length': b'4'}
     request = call.relay.requests[0]
@@ -119,7 +125,7 @@
     code: codes.ResultCode, ran: codes.Ran
 ) -> None:
     """Guards against "not run" by status for a request that may have run."""
-    call = _Call(refusal(code, ran)).run()
+    call = Call(refusal(code, ran)).run()
     if ran is RAN.NOT_RUN:
         assert call.status == 503 or 400 <= call.status < 500
     else:
@@ -130,13 +136,13 @@
 
 def test_unknown_route_and_missing_configuration() -> None:
     """Guards against 404 from a host that has no configuration yet."""
-    assert _Call(RELAYED, '/b').run().status == 404
-    assert _Call(RELAYED, version=0).run().status == 503
+    assert Call(RELAYED, '/b').run().status == 404
+    assert Call(RELAYED, version=0).run().status == 503
 
 
 def test_stopping_host_closes_and_then_refuses() -> None:
     """Guards against connections that stay open to a stopping host."""
-    call = _Call(RELAYED)
+    call = Call(RELAYED)
     call.application.is_stopping = True
     assert call.run().headers[b'connection'] == b'close'
     call.application.is_refusing = True
--- a/tests/requests/test_endless_response.py
+++ b/tests/requests/test_endless_response.py
@@ -117,6 +117,7 @@
             self.scene.quarantine,
             self.scene.detect_crashes(self.client),
             self.scene.build_reach(self.client),
+            self.scene.build_forwarder(),
             lambda: retry.RetryBudget(0, lambda: 1),
             CLOCK,
         )
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -85,6 +85,10 @@
         assert step is not None
         return outcome.Success(step())
 
+    async def accepts_connections(self, target: str) -> bool:
+        """Whether the target can be reached."""
+        return True
+
     async def refuses_connections(self, target: str) -> bool:
         """Whether the target has crashed; if so, it starts again."""
         if self.has_crashed:
@@ -95,6 +99,24 @@
         """Do nothing; there are no connections."""
 
 
+class _Forwarder:
+    """Forwarder with one result for all requests; None without peers."""
+
+    def __init__(self) -> None:
+        self.result: relay_model.Response | relay_model.Refusal | None = None
+        self.attempts_left: list[int] = []
+
+    async def forward(
+        self,
+        request: object,
+        body: object,
+        control: object,
+        attempts_left: int,
+    ) -> relay_model.Response | relay_model.Refusal | None:
+        self.attempts_left.append(attempts_left)
+        return self.result
+
+
 class _Rig:
     """Relay with scripted targets."""
 
@@ -105,6 +127,8 @@
         self.client = _Client(*steps)
         self.client.on_crash = self._restart
         self.control = request_model.RequestControl()
+        self.reach = self.scene.build_reach(self.client)
+        self.forwarder = _Forwarder()
         self.relay = relays.Relay(
             self.scene.picker,
             self.scene.loads,
@@ -116,7 +140,8 @@
             typing.cast(typing.Any, self.client),
             self.scene.quarantine,
             self.scene.detect_crashes(self.client),
-            self.scene.build_reach(self.client),
+            self.reach,
+            typing.cast(typing.Any, self.forwarder),
             lambda: retry.RetryBudget(0, lambda: retries),
             self.scene.clock,
         )
@@ -131,6 +156,7 @@
         self,
         kind: model.RequestKind = model.RequestKind.IDEMPOTENT,
         within_s: float = 5,
+        is_forwarded: bool = False,
     ) -> relay_model.Response | relay_model.Refusal:
         """Run one request."""
         route = dataclasses.replace(
@@ -152,6 +178,7 @@
             b'key',
             now_ms,
             now_ms + 2_000,
+            is_forwarded,
         )
 
         async def read_chunk() -> bytes | None | outcome.Failure:
@@ -389,3 +416,74 @@
         rig.scene.ejections.is_suspect(name)
         for name in rig.scene.targets.record_by_name
     )
+
+
+FORWARDED = relay_model.Response(200, (SIGNED,), b'ok', '')
+
+
+def _lose_links(rig: _Rig) -> None:
+    rig.reach.is_lost = True
+    rig.forwarder.result = FORWARDED
+
+
+def test_host_without_links_forwards_requests() -> None:
+    """Guards against attempts over lost links while peers reach targets."""
+    rig = _Rig()
+    _lose_links(rig)
+    assert rig.run(NON_IDEMPOTENT) is FORWARDED
+    assert rig.client.targets == []
+
+
+def test_forwarded_request_is_not_forwarded_again() -> None:
+    """Guards against requests that go round among hosts without links."""
+    rig = _Rig(_Response)
+    _lose_links(rig)
+    assert isinstance(rig.run(is_forwarded=True), relay_model.Response)
+    assert rig.forwarder.attempts_left == []
+    assert len(rig.client.targets) == 1
+
+
+def test_host_without_peers_uses_its_own_links() -> None:
+    """Guards against a refusal while open connections may still work."""
+    rig = _Rig(_Response)
+    rig.reach.is_lost = True
+    assert isinstance(rig.run(), relay_model.Response)
+
+
+@pytest.mark.parametrize('step', [CONNECT_FAILED, LOST])
+@pytest.mark.parametrize('kind', list(model.RequestKind))
+@pytest.mark.parametrize('retries', [0, 1])
+def test_request_moves_to_a_peer_within_its_limits(
+    step: Step, kind: model.RequestKind, retries: int
+) -> None:
+    """Guards against a second run, and retries beyond the budget.
+
+    The links are lost during the first attempt.
+    """
+    rig = _Rig(step, retries=retries)
+    rig.client.on_send = lambda: _lose_links(rig)
+    result = rig.run(kind)
+    may_have_run = step is LOST
+    if not may_have_run:
+        assert result is FORWARDED
+        assert rig.forwarder.attempts_left == [2]
+    elif kind is model.RequestKind.IDEMPOTENT and retries:
+        assert result is FORWARDED
+        assert rig.forwarder.attempts_left == [1]
+    else:
+        assert refused(result)[1] is codes.Ran.UNKNOWN
+        assert rig.forwarder.attempts_left == []
+
+
+@pytest.mark.parametrize('ran', list(codes.Ran))
+def test_refusal_of_a_peer_reaches_the_caller(ran: codes.Ran) -> None:
+    """Guards against "not run" for a request that a peer may have sent."""
+    rig = _Rig()
+    _lose_links(rig)
+    rig.forwarder.result = relay_model.Refusal(
+        outcome.Failure(CODE.TARGET_LOST, '', ran), 700
+    )
+    result = rig.run()
+    assert refused(result) == (CODE.TARGET_LOST, ran)
+    assert isinstance(result, relay_model.Refusal)
+    assert result.retry_after_ms == 700
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -36,6 +36,7 @@
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
+from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import retry
@@ -173,6 +174,13 @@
                 self._client, self._quarantine.on_crash, clock
             ),
             self._reach,
+            peer_forwarder.PeerForwarder(
+                target_client.TargetClient(
+                    clock, connect_timeout_ms=CONNECT_TIMEOUT_MS
+                ),
+                self._fleet.find_forwarding_peers,
+                clock,
+            ),
             self._build_retry_budget,
             clock,
         )
@@ -183,6 +191,14 @@
             self._on_finished,
             clock,
         )
+        self._peer_application = edges.EdgeApplication(
+            self._routes,
+            self._relay,
+            self._find_target_region,
+            self._on_finished,
+            clock,
+            is_for_peers=True,
+        )
 
     @property
     def is_serving(self) -> bool:
@@ -192,13 +208,22 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         settings = self._settings
-        caller_server = http_server.HttpServer(
-            request_server.build_server_config(
-                typing.cast(typing.Any, self._application),
-                settings.caller_address,
-                self._protocol,
+        request_servers = [
+            http_server.HttpServer(
+                request_server.build_server_config(
+                    typing.cast(typing.Any, application),
+                    address,
+                    self._protocol,
+                )
             )
-        )
+            for application, address in (
+                (self._application, settings.caller_address),
+                (
+                    self._peer_application,
+                    f'{settings.ip}:{settings.peer_port}',
+                ),
+            )
+        ]
         app = directory.DirectoryApplication(
             lambda: self.is_serving,
             self._fleet.select_addresses,
@@ -213,7 +238,7 @@
             f'{settings.ip}:{settings.metrics_port}',
         )
         servers = [
-            caller_server,
+            *request_servers,
             *(http_server.build_server(app, address) for address in addresses),
         ]
         log.event(_LOG, 'started', host=settings.host, domain=settings.domain)
@@ -235,7 +260,7 @@
                 self._is_stopping = True
                 self._relay.is_stopping = True
                 await edge_stop.stop_gracefully(
-                    [self._application],
+                    [self._application, self._peer_application],
                     servers,
                     self._fleet.leave,
                     DIRECTORY_TTL_MS,
--- a/wigeonhatch/entry/edge_settings.py
+++ b/wigeonhatch/entry/edge_settings.py
@@ -58,7 +58,8 @@
         peer_address: `IP:PORT` where peers read rows of the store; the port
             is the same on all hosts.
         seeds: Peer addresses to contact before the host list is read.
-        peer_port: UDP port of the heartbeats, the same on all hosts.
+        peer_port: UDP port of the heartbeats and TCP port of forwarded
+            requests, the same on all hosts.
         metrics_port: TCP port of the metrics.
         store_address: `IP:PORT` of the platform's store.
         bounds: Agreed bounds.
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import logging
+import random
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
@@ -21,6 +22,7 @@
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine as quarantines
 
 _RETRY_INTERVAL_MS = 500
@@ -79,6 +81,7 @@
         self._report = report
         self._on_peer_state = on_peer_state
         self._clock = clock
+        self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._send_count = 0
@@ -260,6 +263,36 @@
             hosts.add(own)
         return frozenset(hosts)
 
+    def find_forwarding_peers(
+        self, allowed_regions: frozenset[str]
+    ) -> list[peer_forwarder.Peer]:
+        """Find the peers that may run a request in place of this host.
+
+        Args:
+            allowed_regions: Regions that may receive it; empty for all.
+
+        Returns:
+            Serving peers that reach the targets, in random order; those of
+            this host's region come first.
+        """
+        own = self._settings
+        found = [
+            (state.region != own.region, self._rng.random(), state)
+            for state in self.peers.live_states()
+            if state.report.is_serving
+            and state.report.reaches_targets
+            and (not allowed_regions or state.region in allowed_regions)
+        ]
+        found.sort(key=lambda item: item[:2])
+        return [
+            peer_forwarder.Peer(
+                state.host,
+                f'{settings_module.parse_address(state.caller_address)[0]}'
+                f':{own.peer_port}',
+            )
+            for _, _, state in found
+        ]
+
     def find_repeat_hosts(self) -> quarantines.HostView:
         """Find the hosts at which a repeat of a request may arrive."""
         live = self.live_hosts()
--- a/wigeonhatch/platform/messages.py
+++ b/wigeonhatch/platform/messages.py
@@ -93,6 +93,22 @@
         target: Name of the only target that may run the request.
         remaining_ms: Time until the deadline of the request in ms.
     """
+    return (
+        *forwarded_headers(end_to_end, remaining_ms),
+        (names.TARGET_NAME, target.encode()),
+    )
+
+
+def forwarded_headers(
+    end_to_end: collections.abc.Iterable[tuple[bytes, bytes]],
+    remaining_ms: int,
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Build the header fields of a request that any target may run.
+
+    Args:
+        end_to_end: Fields of the caller to pass on, names in lower case.
+        remaining_ms: Time until the deadline of the request in ms.
+    """
     passed_on = (
         item
         for item in end_to_end
@@ -101,7 +117,6 @@
     return (
         *passed_on,
         (names.DEADLINE_MS, b'%d' % max(1, remaining_ms)),
-        (names.TARGET_NAME, target.encode()),
     )
 
 
--- a/wigeonhatch/requests/_exchange.py
+++ b/wigeonhatch/requests/_exchange.py
@@ -77,17 +77,28 @@
         )
     buffer = response_buffer.ResponseBuffer(buffered)
     try:
-        return await _read_complete(response, target_fields, target, buffer)
+        return await read_complete(response, target_fields, target, buffer)
     finally:
         buffer.close()
 
 
-async def _read_complete(
+async def read_complete(
     response: target_response.TargetResponse,
     target_fields: messages.TargetFields,
     target: str,
     buffer: response_buffer.ResponseBuffer,
 ) -> relay_model.Response | outcome.Failure:
+    """Read a response to its end.
+
+    Args:
+        response: Response whose body has not been read yet.
+        target_fields: Fields of its head.
+        target: Name of the target.
+        buffer: Receives the body.
+
+    Returns:
+        The response; or a failure if it is not signed, encoded or incomplete.
+    """
     is_success = 200 <= response.status < 300
     if is_success and not target_fields.is_signed:
         await response.close()
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -16,6 +16,7 @@
 from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _replies
 from wigeonhatch.requests import body as bodies
+from wigeonhatch.requests import forward_fields
 from wigeonhatch.requests import headers as fields
 from wigeonhatch.requests import model
 from wigeonhatch.requests import relay as relays
@@ -59,7 +60,7 @@
 
 
 class EdgeApplication:
-    """Callers' interface of a host on a platform.
+    """Callers' interface of a host on a platform, or that of its peers.
 
     Args:
         routes: Routes of the configuration in force.
@@ -67,6 +68,7 @@
         find_region: Returns the region of a target by its name.
         on_finished: Receives the result of each request.
         clock: Source of monotonic time.
+        is_for_peers: Whether it takes requests that peers forward.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         find_region: collections.abc.Callable[[str], str],
         on_finished: OnFinished,
         clock: clocks.Clock,
+        is_for_peers: bool = False,
     ) -> None:
         self.in_progress = 0
         self.is_stopping = False
@@ -85,6 +88,7 @@
         self._find_region = find_region
         self._on_finished = on_finished
         self._clock = clock
+        self._is_for_peers = is_for_peers
 
     async def __call__(
         self,
@@ -199,6 +203,15 @@
                 codes.ResultCode.NOT_FOUND,
                 f'no route in version {config.version}',
             )
+        if self._is_for_peers:
+            limits = forward_fields.parse_limits(
+                header_by_name.get(fields.FORWARDED)
+            )
+            if limits is None or limits.config_version > config.version:
+                return outcome.Failure(codes.ResultCode.NOT_READY)
+            route = dataclasses.replace(
+                route, max_attempts=limits.attempts_left
+            )
         caller_fields = messages.read_caller_fields(header_by_name)
         timeout_ms = caller_fields.timeout_ms or DEFAULT_DEADLINE_MS
         if route.timeout_ms:
@@ -218,6 +231,7 @@
             affinity_key=caller_fields.affinity_key,
             received_ms=received_ms,
             deadline_ms=received_ms + timeout_ms,
+            is_forwarded=self._is_for_peers,
         )
 
     async def _respond(
@@ -247,6 +261,11 @@
                 headers.append(
                     messages.retry_after_header(result.retry_after_ms)
                 )
+        if self._is_for_peers:
+            headers = [
+                *forward_fields.remove_decision(tuple(headers)),
+                forward_fields.encode_decision(_describe(result)),
+            ]
         if self.is_stopping:
             headers.append(_CONNECTION_CLOSE)
         reply.is_finished = True
@@ -299,6 +318,19 @@
         )
 
 
+def _describe(
+    result: relay_model.Response | relay_model.Refusal,
+) -> forward_fields.Decision:
+    """Describe a result to the peer that forwarded the request."""
+    if isinstance(result, relay_model.Response):
+        return forward_fields.Decision(
+            codes.ResultCode.OK, codes.Ran.RAN, retry_after_ms=0
+        )
+    return forward_fields.Decision(
+        result.failure.code, result.failure.ran, result.retry_after_ms
+    )
+
+
 def _build_refusal(code: codes.ResultCode) -> relay_model.Refusal:
     return relay_model.Refusal(
         outcome.Failure(code), pickers.MIN_RETRY_AFTER_MS
--- a/wigeonhatch/requests/headers.py
+++ b/wigeonhatch/requests/headers.py
@@ -16,6 +16,8 @@
 BUCKET = b'wigeonhatch-bucket'
 CODE = b'wigeonhatch-code'
 RAN = b'wigeonhatch-ran'
+FORWARDED = b'wigeonhatch-forwarded'
+DECISION = b'wigeonhatch-decision'
 NOT_RUN_VALUE = b'not run'
 
 _HOP_BY_HOP = frozenset(
@@ -41,6 +43,7 @@
         BUCKET,
         CODE,
         RAN,
+        FORWARDED,
         b'content-length',
         b'expect',
         b'host',
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -26,6 +26,7 @@
 from wigeonhatch.requests import _target_health
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model
+from wigeonhatch.requests import peer_forwarder as peer_forwarders
 from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import response_buffer
@@ -62,6 +63,7 @@
         quarantine: Requests that crash targets.
         crashes: Detects crashes of targets.
         reach: Detects that this host cannot reach the targets.
+        forwarder: Forwards requests to peers that reach them.
         build_budget: Builds the retry budget of a service.
         clock: Source of monotonic time.
     """
@@ -79,6 +81,7 @@
         quarantine: quarantines.QuarantineTable,
         crashes: crash_detector.CrashDetector,
         reach: target_reach.TargetReach,
+        forwarder: peer_forwarders.PeerForwarder,
         build_budget: collections.abc.Callable[[], retry.RetryBudget],
         clock: clocks.Clock,
     ) -> None:
@@ -93,6 +96,8 @@
         self._client = client
         self._quarantine = quarantine
         self._crashes = crashes
+        self._reach = reach
+        self._forwarder = forwarder
         self._health = _target_health.TargetHealth(
             load_table, ejections, quarantine, crashes, client, reach
         )
@@ -117,7 +122,8 @@
             control: Cancels the attempt when the caller disconnects.
         """
         history = relay_model.AttemptHistory(request.compute_fingerprint(body))
-        self._budget_by_service[request.service].on_request()
+        if not self._is_forwarding(request):
+            self._budget_by_service[request.service].on_request()
         while True:
             if control.cause is not None:
                 return self._refuse(history, codes.ResultCode.CALLER_GONE)
@@ -126,8 +132,11 @@
                 return self._refuse(
                     history, codes.ResultCode.DEADLINE_EXCEEDED
                 )
-            if history.failure is not None and not self._may_retry(
-                request, history, body
+            is_forwarding = self._is_forwarding(request)
+            if (
+                history.failure is not None
+                and (history.may_have_run or not is_forwarding)
+                and not self._may_retry(request, history, body)
             ):
                 return self._refuse(history, history.failure.code)
             quarantined = self._quarantine.check(history.fingerprint)
@@ -138,6 +147,19 @@
                     quarantined.reason,
                     quarantined.retry_after_ms,
                 )
+            if is_forwarding:
+                forwarded = await self._forwarder.forward(
+                    request,
+                    body,
+                    control,
+                    request.route.max_attempts - history.send_count,
+                )
+                if isinstance(forwarded, relay_model.Response):
+                    return forwarded
+                if forwarded is not None:
+                    return self._refuse_forwarded(history, forwarded)
+                if control.cause is not None:
+                    continue
             pick = self._picker.pick(
                 _query.build_query(
                     request,
@@ -159,6 +181,10 @@
             if self._quarantine.is_suspect(history.fingerprint):
                 await self._crashes.wait_examined(pick.target.name)
 
+    def _is_forwarding(self, request: relay_model.RelayRequest) -> bool:
+        """Tell whether a peer is to run a request."""
+        return self._reach.is_lost and not request.is_forwarded
+
     def _may_retry(
         self,
         request: relay_model.RelayRequest,
@@ -328,6 +354,23 @@
         if is_own or head.max_rate_per_s is not None:
             self._limits.on_response(target, head.max_rate_per_s)
 
+    def _refuse_forwarded(
+        self,
+        history: relay_model.AttemptHistory,
+        refusal: relay_model.Refusal,
+    ) -> relay_model.Response | relay_model.Refusal:
+        """Refuse a request as the peer did that was to run it."""
+        failure = refusal.failure
+        if not history.may_have_run:
+            history.failure = failure
+            history.may_have_run = failure.ran is not codes.Ran.NOT_RUN
+        return self._refuse(
+            history,
+            failure.code,
+            failure.detail,
+            refusal.retry_after_ms or pickers.MIN_RETRY_AFTER_MS,
+        )
+
     def _refuse(
         self,
         history: relay_model.AttemptHistory,
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -30,6 +30,7 @@
         affinity_key: Affinity key; empty for none.
         received_ms: Arrival of the head on the monotonic clock in ms.
         deadline_ms: Deadline on the monotonic clock in ms.
+        is_forwarded: Whether a peer forwarded it, so that this host must not.
     """
 
     request_id: bytes
@@ -43,6 +44,7 @@
     affinity_key: bytes
     received_ms: int
     deadline_ms: int
+    is_forwarded: bool = False
 
     @property
     def id_text(self) -> str:
