--- a/tests/balance/simulation.py
+++ b/tests/balance/simulation.py
@@ -47,7 +47,7 @@
         self.limits = rate_limits.RateLimitTable(simulation.clock)
         self.quarantine = quarantine.QuarantineTable(
             self.name,
-            lambda: self.fleet.find_repeat_hosts(),
+            lambda: self.fleet.selector.find_repeat_hosts(),
             simulation.clock,
         )
         ip = f'10.0.{number // 200}.{number % 200}'
@@ -79,7 +79,10 @@
         self.fleet._incarnation += simulation.clock.now_ms
         self.fleet._link = typing.cast(typing.Any, self)
         self.rates = rate_budget.RateBudget(
-            self.name, self.limits, self.fleet.find_senders, simulation.clock
+            self.name,
+            self.limits,
+            self.fleet.selector.find_senders,
+            simulation.clock,
         )
         self._simulation = simulation
 
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -53,7 +53,7 @@
         self.loads = loads.LoadTable(self.clock)
         self.limits = rate_limits.RateLimitTable(self.clock)
         self.quarantine = quarantine.QuarantineTable(
-            'h1', lambda: self.fleet.find_repeat_hosts(), self.clock
+            'h1', lambda: self.fleet.selector.find_repeat_hosts(), self.clock
         )
         self.fleet = fleets.Fleet(
             SETTINGS,
@@ -120,7 +120,7 @@
     harness.receive_state('h2', 'a')
     harness.receive_state('h3', 'b')
     harness.receive_state('h4', 'a', is_serving=False)
-    select = harness.fleet.select_addresses
+    select = harness.fleet.selector.select_addresses
     assert set(select('a', 'c1')) == {'10.0.0.1:80', '10.0.0.2:80'}
     assert select('b', 'c1') == ['10.0.0.3:80']
     assert len(select('c', 'c1')) == 3
@@ -139,15 +139,15 @@
     harness = _FleetHarness()
     harness.receive_state('h2', 'a', reaches_targets=False)
     harness.receive_state('h3', 'b')
-    select = harness.fleet.select_addresses
+    select = harness.fleet.selector.select_addresses
     assert select('a', 'c1') == ['10.0.0.1:80']
-    assert harness.fleet.sending_hosts() == frozenset({'h1', 'h3'})
-    assert harness.fleet.find_senders('a1').live == frozenset({'h1'})
+    assert harness.fleet.selector.sending_hosts() == frozenset({'h1', 'h3'})
+    assert harness.fleet.selector.find_senders('a1').live == frozenset({'h1'})
     harness.reaches_targets = False
     assert select('a', 'c1') == ['10.0.0.3:80']
     harness.receive_state('h3', 'b', reaches_targets=False, sequence=2)
     assert set(select('a', 'c1')) == {'10.0.0.1:80', '10.0.0.2:80'}
-    assert harness.fleet.sending_hosts() == frozenset({'h1'})
+    assert harness.fleet.selector.sending_hosts() == frozenset({'h1'})
 
 
 def test_serving_hosts_of_the_region_send_to_limited_targets() -> None:
@@ -156,7 +156,7 @@
     harness.receive_state('h2', 'a')
     harness.receive_state('h3', 'b')
     harness.receive_state('h4', 'a', is_serving=False)
-    find = harness.fleet.find_senders
+    find = harness.fleet.selector.find_senders
     assert find('a1') == rate_budget.HostGroup(frozenset({'h1', 'h2'}), 2)
     assert find('b1') == rate_budget.HostGroup(frozenset({'h3'}), 1)
     harness.clock.advance(state_link.PEER_TIMEOUT_MS + 1)
@@ -176,14 +176,15 @@
     matching = [
         caller
         for caller in callers
-        if '10.0.0.2:80' in harness.fleet.select_addresses('a', caller)
+        if '10.0.0.2:80'
+        in harness.fleet.selector.select_addresses('a', caller)
     ]
     assert 60 <= len(matching) <= 140
-    repeated = harness.fleet.select_addresses('a', matching[0])
+    repeated = harness.fleet.selector.select_addresses('a', matching[0])
     assert set(repeated) == {'10.0.0.1:80', '10.0.0.2:80'}
     harness.is_serving = False
     for caller in callers:
-        addresses = harness.fleet.select_addresses('a', caller)
+        addresses = harness.fleet.selector.select_addresses('a', caller)
         assert addresses == ['10.0.0.2:80']
 
 
@@ -195,7 +196,7 @@
     assert harness.fleet.roster.ip_by_host['h2'] == '10.0.0.2'
     assert harness.loads.in_progress('t1') == 2
     assert harness.peer_changes == [{'op': 9}]
-    assert harness.fleet.live_hosts() == frozenset({'h1', 'h2'})
+    assert harness.fleet.selector.live_hosts() == frozenset({'h1', 'h2'})
 
 
 def test_rows_are_fetched_only_from_a_peer_with_newer_changes() -> None:
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -7,7 +7,6 @@
 import logging
 import random
 import signal
-import typing
 
 import anyio
 import anyio.abc
@@ -26,10 +25,10 @@
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import directory
+from wigeonhatch.entry import edge_servers
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import edge_stop
 from wigeonhatch.entry import fleet as fleets
-from wigeonhatch.entry import http_server
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
@@ -98,7 +97,9 @@
             settings.processor_share * settings.processor_speed,
         )
         self._quarantine = quarantine.QuarantineTable(
-            settings.host, lambda: self._fleet.find_repeat_hosts(), clock
+            settings.host,
+            lambda: self._fleet.selector.find_repeat_hosts(),
+            clock,
         )
         self._fleet = fleets.Fleet(
             settings,
@@ -111,10 +112,13 @@
             clock,
         )
         self._warmups = warmup.WarmupBudget(
-            settings.host, clock, self._fleet.sending_hosts
+            settings.host, clock, self._fleet.selector.sending_hosts
         )
         self._rates = rate_budget.RateBudget(
-            settings.host, self._limits, self._fleet.find_senders, clock
+            settings.host,
+            self._limits,
+            self._fleet.selector.find_senders,
+            clock,
         )
         self._regions = region_selector.RegionSelector(
             settings.region,
@@ -178,7 +182,7 @@
                 target_client.TargetClient(
                     clock, connect_timeout_ms=CONNECT_TIMEOUT_MS
                 ),
-                self._fleet.find_forwarding_peers,
+                self._fleet.selector.find_forwarding_peers,
                 clock,
             ),
             self._build_retry_budget,
@@ -208,39 +212,20 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         settings = self._settings
-        request_servers = [
-            http_server.HttpServer(
-                request_server.build_server_config(
-                    typing.cast(typing.Any, application),
-                    address,
-                    self._protocol,
-                )
-            )
-            for application, address in (
-                (self._application, settings.caller_address),
-                (
-                    self._peer_application,
-                    f'{settings.ip}:{settings.peer_port}',
-                ),
-            )
-        ]
         app = directory.DirectoryApplication(
             lambda: self.is_serving,
-            self._fleet.select_addresses,
+            self._fleet.selector.select_addresses,
             min(DIRECTORY_TTL_MS, settings.bounds.directory_ttl_max),
             self._metrics.expose,
             self._store_follower.read_rows,
         )
-        addresses = (
-            settings.readiness_address,
-            settings.directory_address,
-            settings.peer_address,
-            f'{settings.ip}:{settings.metrics_port}',
+        servers = edge_servers.build_servers(
+            settings,
+            self._protocol,
+            self._application,
+            self._peer_application,
+            app,
         )
-        servers = [
-            *request_servers,
-            *(http_server.build_server(app, address) for address in addresses),
-        ]
         log.event(_LOG, 'started', host=settings.host, domain=settings.domain)
         async with anyio.create_task_group() as tasks:
             await self._fleet.open()
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import logging
 import random
@@ -10,11 +9,10 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch import settings as settings_module
-from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
-from wigeonhatch.balance import rate_budget
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.entry import edge_settings
+from wigeonhatch.entry import host_selector
 from wigeonhatch.peers import readers
 from wigeonhatch.peers import roster as rosters
 from wigeonhatch.peers import row_share
@@ -22,7 +20,6 @@
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
-from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine as quarantines
 
 _RETRY_INTERVAL_MS = 500
@@ -81,7 +78,6 @@
         self._report = report
         self._on_peer_state = on_peer_state
         self._clock = clock
-        self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._incarnation = clock.wall_ms
         self._sequence = 0
         self._send_count = 0
@@ -89,6 +85,13 @@
         self._incarnation_by_host: dict[str, int] = {}
         self._is_leaving = False
         self._link = state_link.StateLink(self._on_state)
+        self.selector = host_selector.HostSelector(
+            settings,
+            self.peers,
+            self.roster,
+            report,
+            random.Random(f'{settings.host}/{clock.wall_ms}'),
+        )
 
     async def open(self) -> None:
         """Bind the heartbeat socket."""
@@ -209,7 +212,7 @@
                     _LOG, 'host entry unusable', host=row.key, reason=error
                 )
         listed = {row.key for row in batch.rows}
-        self.roster.retain(listed | self.live_hosts())
+        self.roster.retain(listed | self.selector.live_hosts())
         if self._settings.host not in listed:
             # A store that was restored from a copy may have lost the row.
             await self._register()
@@ -245,139 +248,6 @@
             return None
         return await row_share.fetch(ip, self._rows_port, table, after)
 
-    def live_hosts(self) -> frozenset[str]:
-        """Names of the hosts that are reachable, including this one."""
-        return frozenset(
-            (self._settings.host, *(s.host for s in self.peers.live_states()))
-        )
-
-    def sending_hosts(self) -> frozenset[str]:
-        """Names of the reachable hosts that can send requests to targets."""
-        own = self._settings.host
-        hosts = {
-            state.host
-            for state in self.peers.live_states()
-            if state.report.reaches_targets
-        }
-        if self._report().reaches_targets or not hosts:
-            hosts.add(own)
-        return frozenset(hosts)
-
-    def find_forwarding_peers(
-        self, allowed_regions: frozenset[str]
-    ) -> list[peer_forwarder.Peer]:
-        """Find the peers that may run a request in place of this host.
-
-        Args:
-            allowed_regions: Regions that may receive it; empty for all.
-
-        Returns:
-            Serving peers that reach the targets, in random order; those of
-            this host's region come first.
-        """
-        own = self._settings
-        found = [
-            (state.region != own.region, self._rng.random(), state)
-            for state in self.peers.live_states()
-            if state.report.is_serving
-            and state.report.reaches_targets
-            and (not allowed_regions or state.region in allowed_regions)
-        ]
-        found.sort(key=lambda item: item[:2])
-        return [
-            peer_forwarder.Peer(
-                state.host,
-                f'{settings_module.parse_address(state.caller_address)[0]}'
-                f':{own.peer_port}',
-            )
-            for _, _, state in found
-        ]
-
-    def find_repeat_hosts(self) -> quarantines.HostView:
-        """Find the hosts at which a repeat of a request may arrive."""
-        live = self.live_hosts()
-        known = live | self.peers.region_by_host().keys()
-        if len(known) == 1:
-            # A host that has heard of no peer since its start.
-            known |= self.roster.ip_by_host.keys()
-        return quarantines.HostView(live, known)
-
-    def find_senders(self, domain: str) -> rate_budget.HostGroup:
-        """Find the hosts that may send to a target with a rate limit.
-
-        Args:
-            domain: Failure domain of the target.
-
-        Returns:
-            The serving hosts of its region; those of all regions if it has
-            none.
-        """
-        own = self._settings
-        states = self.peers.live_states()
-        serving = {
-            state.host: state.region
-            for state in states
-            if state.report.is_serving and state.report.reaches_targets
-        }
-        report = self._report()
-        if report.is_serving and (report.reaches_targets or not serving):
-            serving[own.host] = own.region
-        silent = {
-            host: region
-            for host, region in self.peers.region_by_host().items()
-            if host in self.roster.ip_by_host
-        }
-        for state in states:
-            silent.pop(state.host, None)
-        region = own.region_by_domain.get(domain, domain)
-        if region not in serving.values():
-            return _group(serving.keys(), silent.keys())
-        return _group(
-            (host for host in serving if serving[host] == region),
-            (host for host in silent if silent[host] == region),
-        )
-
-    def select_addresses(self, region: str, caller: str) -> list[str]:
-        """Select the hosts that a lookup returns to a caller.
-
-        The failure domain of the caller is ignored, since hosts of one region
-        are about 1 ms apart.
-
-        Args:
-            region: Region of the caller.
-            caller: Identity of the caller.
-
-        Returns:
-            Addresses of serving hosts in the region, or in all if it has none.
-            Hosts that do not reach the targets are left out, unless no host
-            does.
-        """
-        own = self._settings
-        serving = [
-            (region, address, report)
-            for region, address, report in (
-                (own.region, own.caller_address, self._report()),
-                *(
-                    (state.region, state.caller_address, state.report)
-                    for state in self.peers.live_states()
-                ),
-            )
-            if report.is_serving
-        ]
-        reaching = [item for item in serving if item[2].reaches_targets]
-        weights_by_region: dict[str, dict[str, float]] = (
-            collections.defaultdict(dict)
-        )
-        for host_region, address, report in reaching or serving:
-            weights_by_region[host_region][address] = report.weight
-        if region in weights_by_region:
-            return host_weight.select_hosts(weights_by_region[region], caller)
-        return [
-            address
-            for weights in weights_by_region.values()
-            for address in host_weight.select_hosts(weights, caller)
-        ]
-
     def _on_state(self, state: state_link.HostState) -> None:
         if not self.peers.update(state):
             return
@@ -423,10 +293,3 @@
         ips = {self.roster.ip_by_host[host] for host in hosts}
         port = self._settings.peer_port
         self._link.send(state, [(ip, port) for ip in sorted(ips)])
-
-
-def _group(
-    live: collections.abc.Iterable[str], silent: collections.abc.Iterable[str]
-) -> rate_budget.HostGroup:
-    hosts = frozenset(live)
-    return rate_budget.HostGroup(hosts, len(hosts) + len(list(silent)))
