Probe targets of the own domain before a loss of links is concluded

A host whose domain is cut off from the others reaches the targets of its domain, which the sample of six could leave out; it would have withdrawn although its links work. The sample is now taken evenly from the domain, the rest of the region and elsewhere. Connections to peers that were replaced are closed.

--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -117,7 +117,7 @@
         """Build a detector of lost links."""
         return target_reach.TargetReach(
             connector,
-            lambda: (list(self.targets.record_by_name), []),
+            lambda: [list(self.targets.record_by_name)],
             lambda: None,
             self.clock,
             random.Random(1),
--- a/tests/requests/test_peer_forwarder.py
+++ b/tests/requests/test_peer_forwarder.py
@@ -27,6 +27,7 @@
 CLOCK = clocks.Clock()
 ATTEMPTS = 2
 TIMEOUT_MS = 1_500
+_MAX_KNOWN = peer_forwarder.MAX_KNOWN_PEERS
 
 
 def decide(
@@ -270,3 +271,13 @@
     assert not request.is_forwarded
     assert fields.FORWARDED not in dict(request.headers)
     assert fields.DECISION not in call.headers
+
+
+@scripted.run_on_uvloop
+async def test_connections_to_replaced_peers_are_closed() -> None:
+    """Guards against memory that grows with each host that is replaced."""
+    async with _scene(SERVED) as scene:
+        known = scene.forwarder._address_by_host
+        known.update({f'old{n}': '127.0.0.1:9' for n in range(_MAX_KNOWN)})
+        assert isinstance(await scene.forward(), relay_model.Response)
+        assert set(scene.forwarder._address_by_host) == {'h0'}
--- a/tests/targets/test_reach.py
+++ b/tests/targets/test_reach.py
@@ -10,6 +10,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.targets import reach as target_reach
 
+OWN = ['o0', 'o1']
 NEAR = [f'n{number}' for number in range(4)]
 MAX_ROUNDS = 200
 FAR = [f'f{number}' for number in range(8)]
@@ -20,12 +21,12 @@
 
     def __init__(self) -> None:
         self.clock = clocks.ManualClock()
-        self.reached = {*NEAR, *FAR}
+        self.reached = {*OWN, *NEAR, *FAR}
         self.probe_count = 0
         self.return_count = 0
         self.reach = target_reach.TargetReach(
             self,
-            lambda: (NEAR, FAR),
+            lambda: (OWN, NEAR, FAR),
             self._on_reached,
             self.clock,
             random.Random(1),
@@ -49,7 +50,7 @@
 
     def return_rounds(self) -> int:
         """Heal the links; count the rounds until the targets are reached."""
-        self.reached = {*NEAR, *FAR}
+        self.reached = {*OWN, *NEAR, *FAR}
         rounds = 0
         while self.reach.is_lost:
             self.probe()
@@ -70,7 +71,7 @@
     links.lose()
 
 
-@pytest.mark.parametrize('reached', [NEAR, FAR])
+@pytest.mark.parametrize('reached', [OWN, NEAR, FAR])
 def test_host_that_reaches_some_targets_stays(reached: list[str]) -> None:
     """Guards against the withdrawal of a host because a region is down."""
     links = _Links()
@@ -128,7 +129,7 @@
     links = _Links()
     links.lose()
     for _ in range(10):
-        links.reached = {*NEAR, *FAR}
+        links.reached = {*OWN, *NEAR, *FAR}
         links.probe(2)
         links.reached = set()
         links.probe()
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -68,3 +68,17 @@
     table.on_warmup_report('unknown', 1_000)
     assert table.is_cold('t1')
     assert not table.is_cold('unknown')
+
+
+def test_targets_are_grouped_by_distance() -> None:
+    """Guards against probes that leave out the targets next to the host."""
+    scene = harnesses.PickerHarness(
+        [
+            harnesses.build_target('t1', 'a1'),
+            harnesses.build_target('t2', 'a2'),
+            harnesses.build_target('t3', 'b1'),
+            harnesses.build_target('t4', 'a1', is_draining=True),
+        ]
+    )
+    groups = scene.targets.group_by_distance('a1', harnesses.REGION_BY_DOMAIN)
+    assert groups == (['t1'], ['t2'], ['t3'])
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -149,7 +149,9 @@
         )
         self._reach = target_reach.TargetReach(
             self._client,
-            self._list_targets,
+            lambda: self._targets.group_by_distance(
+                settings.domain, settings.region_by_domain
+            ),
             self._ejections.clear,
             clock,
             self._rng,
@@ -353,15 +355,6 @@
         slack = self._settings.bounds.retry_slack * RETRY_FRACTION
         return max(1, int(slack / host_count))
 
-    def _list_targets(self) -> tuple[list[str], list[str]]:
-        """Names of the targets in this host's region, and of the others."""
-        names: tuple[list[str], list[str]] = ([], [])
-        for record in self._targets.record_by_name.values():
-            region = self._picker.region_of(record.domain)
-            if not record.is_draining:
-                names[region != self._settings.region].append(record.name)
-        return names
-
     def _find_target_region(self, name: str) -> str:
         record = self._targets.record_by_name.get(name)
         return '' if record is None else self._picker.region_of(record.domain)
--- a/wigeonhatch/requests/peer_forwarder.py
+++ b/wigeonhatch/requests/peer_forwarder.py
@@ -26,6 +26,8 @@
 """Peers that are tried, one after the other, while none has run a request."""
 MAX_CONNECTIONS = 256
 """Connections to one peer."""
+MAX_KNOWN_PEERS = 256
+"""Peers to which connections are kept; hosts are replaced all the time."""
 _LOG = logging.getLogger(__name__)
 _Result = relay_model.Response | relay_model.Refusal
 _MISSED_CODES = frozenset(
@@ -103,11 +105,11 @@
             The response or the refusal of a peer; None if no peer could be
             asked, so that the request has certainly not run at one.
         """
-        peers = self._find_peers(request.route.allowed_regions)
-        for peer in peers[:MAX_PEERS]:
+        peers = self._find_peers(request.route.allowed_regions)[:MAX_PEERS]
+        for peer in peers:
             if control.cause is not None:
                 return None
-            self._connect(peer)
+            self._connect(peer, peers)
             started_ms = self._clock.now_ms
             with anyio.CancelScope() as scope:
                 control.enter(scope)
@@ -124,16 +126,23 @@
                 return result
         return None
 
-    def _connect(self, peer: Peer) -> None:
+    def _connect(
+        self, peer: Peer, peers: collections.abc.Sequence[Peer]
+    ) -> None:
         """Add a peer to the client, or replace its address."""
-        if self._address_by_host.get(peer.host) != peer.address:
-            self._address_by_host[peer.host] = peer.address
-            self._client.set_targets(
-                {
-                    host: (address, MAX_CONNECTIONS)
-                    for host, address in self._address_by_host.items()
-                }
-            )
+        if self._address_by_host.get(peer.host) == peer.address:
+            return
+        if len(self._address_by_host) >= MAX_KNOWN_PEERS:
+            self._address_by_host = {
+                other.host: other.address for other in peers
+            }
+        self._address_by_host[peer.host] = peer.address
+        self._client.set_targets(
+            {
+                host: (address, MAX_CONNECTIONS)
+                for host, address in self._address_by_host.items()
+            }
+        )
 
     async def _send(
         self,
--- a/wigeonhatch/targets/reach.py
+++ b/wigeonhatch/targets/reach.py
@@ -49,14 +49,14 @@
     """Tell a host without links from targets that fail.
 
     When requests do not reach some targets, the host opens connections to
-    others, in its own region and elsewhere. Only if it reaches none of them,
+    others, near and far. Only if it reaches none of them,
     its own links are lost. Connections that are still open say nothing, since
     they may work while new ones do not.
 
     Args:
         connector: Opens connections to targets.
-        list_targets: Returns the names of the targets in this host's region,
-            and of those in others.
+        group_targets: Returns the names of the targets in this host's domain,
+            of those elsewhere in its region, and of all others.
         on_reached: Called when the targets are reached again.
         clock: Source of monotonic time.
         rng: Chooses the targets to connect to.
@@ -65,8 +65,8 @@
     def __init__(
         self,
         connector: Connector,
-        list_targets: collections.abc.Callable[
-            [], tuple[collections.abc.Sequence[str], ...]
+        group_targets: collections.abc.Callable[
+            [], collections.abc.Sequence[collections.abc.Sequence[str]]
         ],
         on_reached: collections.abc.Callable[[], None],
         clock: clocks.Clock,
@@ -74,7 +74,7 @@
     ) -> None:
         self.is_lost = False
         self._connector = connector
-        self._list_targets = list_targets
+        self._group_targets = group_targets
         self._on_reached = on_reached
         self._clock = clock
         self._rng = rng
@@ -141,11 +141,12 @@
             self._check_loss(len(reached), len(names))
 
     def _sample(self) -> list[str]:
-        near, far = self._list_targets()
-        half = PROBE_COUNT // 2
-        names = self._rng.sample(near, min(half, len(near)))
-        rest = PROBE_COUNT - len(names)
-        names += self._rng.sample(far, min(rest, len(far)))
+        """Choose as many targets from each group, if it has them."""
+        names: list[str] = []
+        groups = sorted(self._group_targets(), key=len)
+        for number, group in enumerate(groups):
+            left = (PROBE_COUNT - len(names)) // (len(groups) - number)
+            names += self._rng.sample(group, min(left, len(group)))
         return names
 
     def _check_loss(self, reached: int, probed: int) -> None:
--- a/wigeonhatch/targets/registry.py
+++ b/wigeonhatch/targets/registry.py
@@ -117,6 +117,34 @@
         """
         return self._usable_by_service.get(service, ())
 
+    def group_by_distance(
+        self, domain: str, region_by_domain: dict[str, str]
+    ) -> tuple[list[str], list[str], list[str]]:
+        """Group the targets that do not drain by their distance.
+
+        Args:
+            domain: Failure domain from which the distance counts.
+            region_by_domain: Region of each failure domain.
+
+        Returns:
+            Names of the targets in the domain, of the others in its region,
+            and of those elsewhere.
+        """
+        region = region_by_domain.get(domain, domain)
+        in_domain: list[str] = []
+        in_region: list[str] = []
+        elsewhere: list[str] = []
+        for record in self.record_by_name.values():
+            if record.is_draining:
+                continue
+            if record.domain == domain:
+                in_domain.append(record.name)
+            elif region_by_domain.get(record.domain) == region:
+                in_region.append(record.name)
+            else:
+                elsewhere.append(record.name)
+        return in_domain, in_region, elsewhere
+
     def is_usable(self, record: TargetRecord) -> bool:
         """Tell whether this incarnation of a target may get new requests."""
         current = self.record_by_name.get(record.name)
