Lose links to targets in the soak

Callers that keep their lookup go on to use addresses that failed, so that the test of lost links always has requests at hosts without links; one of its cases had failed once as callers had all moved on.

--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -42,7 +42,8 @@
         number: Index of the caller.
         fleet: The fleet.
         pause_ms: Maximum pause between requests, in ms.
-        keeps_lookup: Whether it uses the first lookup for ever.
+        keeps_lookup: Whether it uses the addresses of the first lookup for
+            ever, also those that failed.
     """
 
     def __init__(
@@ -123,7 +124,7 @@
             self._idle_by_address[address] = connection
         else:
             await connection.aclose()
-            if not outcome.status:
+            if not outcome.status and not self._keeps_lookup:
                 self._addresses = [
                     item for item in self._addresses if item != address
                 ]
--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -12,6 +12,7 @@
 from tests.faults import callers
 from tests.faults import fleet as fleets
 from tests.faults import ledger as ledgers
+from tests.faults import links
 from tests.faults import target as targets
 from wigeonhatch.standins import row_store
 
@@ -268,6 +269,23 @@
             )
 
 
+async def lose_target_links(
+    fleet: fleets.Fleet, rng: random.Random, seconds: float
+) -> None:
+    """Cut the links of some hosts to all targets, again and again."""
+    end_ms = fleet.clock.now_ms + seconds * 1_000
+    while fleet.clock.now_ms < end_ms:
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        cut = rng.sample(fleet.hosts, rng.randint(1, len(fleet.hosts) // 2))
+        duration_s = rng.uniform(0.5, 6.0)
+        for host in cut:
+            _disturb_host(fleet, host, duration_s)
+            host.set_links(rng.choice(links.MODES))
+        await asyncio.sleep(duration_s)
+        for host in cut:
+            host.set_links('')
+
+
 async def restore_store(
     fleet: fleets.Fleet, rng: random.Random, seconds: float
 ) -> None:
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -15,6 +15,7 @@
 import uvicorn
 
 from tests.faults import bounds
+from tests.faults import host as hosts
 from tests.faults import ledger as ledgers
 from tests.faults import proxy as proxies
 from tests.faults import target as targets
@@ -22,7 +23,7 @@
 from wigeonhatch.standins import row_store
 
 ROOT = pathlib.Path(__file__).parents[2]
-REGION_BY_DOMAIN = {'a': 'north', 'b': 'north', 'c': 'south', 'd': 'south'}
+REGION_BY_DOMAIN = hosts.REGION_BY_DOMAIN
 SERVICES = ('reader', 'writer', 'album')
 KIND_BY_SERVICE = dict(zip(SERVICES, ('read', 'write', 'photo')))
 _ROUTE_TYPES = dict(zip(SERVICES, ('idempotent', 'non_idempotent', 'upload')))
@@ -34,26 +35,7 @@
 """Wall clock offsets; each start of a daemon uses a random one."""
 
 
-class Host:
-    """Entry host: a daemon, its settings and its proxy to the store."""
-
-    def __init__(self, number: int, folder: pathlib.Path) -> None:
-        self.name = f'h{number}'
-        self.ip = f'127.1.{number // 200}.{number % 200 + 1}'
-        self.domain = 'abcd'[number % 4]
-        self.region = REGION_BY_DOMAIN[self.domain]
-        self.store_proxy = proxies.Proxy()
-        self.settings_path = folder / f'{self.name}.json'
-        self.log_path = folder / f'{self.name}.log'
-        self.process: subprocess.Popen[bytes] | None = None
-        self.is_enabled = True
-        self.incarnation = 0
-        self.started_ms = 0
-        self.down_since_ms: int | None = None
-
-    def address(self, port: int) -> str:
-        """Return the `IP:PORT` of a port on this host."""
-        return f'{self.ip}:{port}'
+Host = hosts.Host
 
 
 class Fleet:
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -15,6 +15,7 @@
 from wigeonhatch.targets import _stream
 
 SUFFIX = '.links'
+MODES = ('hang', 'reset', 'refuse')
 TARGET_IP = '127.0.0.1'
 _POLL_S = 0.02
 _HANG_S = 60.0
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -127,7 +127,10 @@
                 else [
                     events.repeat_deadly(
                         fleet, random.Random(f'{seed}/deadly'), seconds
-                    )
+                    ),
+                    events.lose_target_links(
+                        fleet, random.Random(f'{seed}/links'), seconds
+                    ),
                 ]
             ),
             *(fleet.restart_on_exit(host) for host in fleet.hosts),
--- a/tests/faults/test_lost_links.py
+++ b/tests/faults/test_lost_links.py
@@ -31,7 +31,7 @@
 ) -> None:
     for host in fleet.hosts:
         if host.name in names:
-            host.settings_path.with_suffix(links.SUFFIX).write_text(mode)
+            host.set_links(mode)
 
 
 def _served_ratios(
@@ -97,7 +97,7 @@
 
 
 @pytest.mark.parametrize('names', [ONE_HOST, ONE_DOMAIN, ONE_REGION])
-@pytest.mark.parametrize('mode', ['hang', 'reset', 'refuse'])
+@pytest.mark.parametrize('mode', links.MODES)
 def test_callers_of_hosts_without_links_are_served(
     tmp_path: pathlib.Path, mode: str, names: tuple[str, ...]
 ) -> None:
