Refuse at once where neither targets nor peers are reached

A host without links asked its peers before each of its own attempts and did not count failed connections, so that a request went from target to target until its deadline if no peer answered; and a request that a target had refused could be repeated at a peer without a token of the retry budget. Found by reading.

A request that targets have received is now forwarded only as a retry within the budget, and failed connections end it as on other hosts. Two tests of tests/requests/test_relay.py cover both cases.

--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -487,3 +487,20 @@
     assert refused(result) == (CODE.TARGET_LOST, ran)
     assert isinstance(result, relay_model.Refusal)
     assert result.retry_after_ms == 700
+
+
+def test_host_without_links_and_peers_refuses_at_once() -> None:
+    """Guards against one failed connection after the other until the end."""
+    rig = _Rig(*[CONNECT_FAILED] * 4)
+    rig.reach.is_lost = True
+    _, ran = refused(rig.run())
+    assert ran is codes.Ran.NOT_RUN
+    assert len(rig.client.targets) == relays.MAX_CONNECT_RETRIES + 1
+
+
+def test_refused_request_is_forwarded_within_the_budget() -> None:
+    """Guards against a repeat at a peer that no retry budget counts."""
+    rig = _Rig(shed, retries=0)
+    rig.client.on_send = lambda: _lose_links(rig)
+    assert refused(rig.run())[0] is CODE.TARGET_SHED
+    assert rig.forwarder.attempts_left == []
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -45,7 +45,6 @@
 """Lower bound of that time."""
 MAX_CONNECT_RETRIES = 3
 """Failed connections per request that are retried outside the budget."""
-_SERVER_ERROR = 500
 
 
 class Relay:
@@ -132,13 +131,16 @@
                 return self._refuse(
                     history, codes.ResultCode.DEADLINE_EXCEEDED
                 )
-            is_forwarding = self._is_forwarding(request)
-            if (
-                history.failure is not None
-                and (history.may_have_run or not is_forwarding)
-                and not self._may_retry(request, history, body)
-            ):
-                return self._refuse(history, history.failure.code)
+            failure = history.failure
+            may_retry = failure is None or self._may_retry(
+                request, history, body
+            )
+            # A request that no target has received is no retry at a peer.
+            is_forwarding = self._is_forwarding(request) and (
+                may_retry or not history.send_count
+            )
+            if failure is not None and not (may_retry or is_forwarding):
+                return self._refuse(history, failure.code)
             quarantined = self._quarantine.check(history.fingerprint)
             if quarantined is not None:
                 return self._refuse(
@@ -160,6 +162,8 @@
                     return self._refuse_forwarded(history, forwarded)
                 if control.cause is not None:
                     continue
+                if failure is not None and not may_retry:
+                    return self._refuse(history, failure.code)
             pick = self._picker.pick(
                 _query.build_query(
                     request,
@@ -269,37 +273,7 @@
             load,
             is_cold,
         )
-        return self._record_result(request, result, history)
-
-    def _record_result(
-        self,
-        request: relay_model.RelayRequest,
-        result: relay_model.Response | outcome.Failure,
-        history: relay_model.AttemptHistory,
-    ) -> relay_model.Response | None:
-        """Record the result of an attempt; return it if it is final."""
-        if isinstance(result, outcome.Failure):
-            history.failure = result
-            if result.code is not codes.ResultCode.TARGET_CONNECT_FAILED:
-                history.send_count += 1
-            if result.ran is not codes.Ran.NOT_RUN:
-                history.may_have_run = True
-            return None
-        history.send_count += 1
-        history.may_have_run = True
-        if (
-            result.status >= _SERVER_ERROR
-            and request.route.is_idempotent
-            and history.error_response is None
-            and history.send_count < request.route.max_attempts
-        ):
-            # Returned if no retry succeeds.
-            history.error_response = result
-            history.failure = outcome.Failure(
-                codes.ResultCode.RESPONSE_INCOMPLETE, f'status {result.status}'
-            )
-            return None
-        return result
+        return history.record(result, request.route)
 
     def _start_inactivity_timer(
         self,
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.platform import messages
 from wigeonhatch.requests import body as bodies
@@ -12,6 +13,7 @@
 from wigeonhatch.routes import model as routes
 
 _CREDENTIAL = b'authorization'
+_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,3 +127,38 @@
         """Rate limit in the last response; None without one."""
         fields = self.target_fields
         return None if fields is None else fields.max_rate_per_s
+
+    def record(
+        self, result: Response | outcome.Failure, route: routes.Route
+    ) -> Response | None:
+        """Record the result of an attempt.
+
+        Args:
+            result: Response or failure.
+            route: Route of the request.
+
+        Returns:
+            The response if it is final; None if a retry may be better.
+        """
+        if isinstance(result, outcome.Failure):
+            self.failure = result
+            if result.code is not codes.ResultCode.TARGET_CONNECT_FAILED:
+                self.send_count += 1
+            if result.ran is not codes.Ran.NOT_RUN:
+                self.may_have_run = True
+            return None
+        self.send_count += 1
+        self.may_have_run = True
+        if (
+            result.status >= _SERVER_ERROR
+            and route.is_idempotent
+            and self.error_response is None
+            and self.send_count < route.max_attempts
+        ):
+            # Returned if no retry succeeds.
+            self.error_response = result
+            self.failure = outcome.Failure(
+                codes.ResultCode.RESPONSE_INCOMPLETE, f'status {result.status}'
+            )
+            return None
+        return result
