Tell restarted entry hosts of quarantined requests

State exchange sends changes for 2 s only, so that an owner that is started later did not know of a quarantine and would have lost targets to the request. A host that meets a new incarnation now reports all that it knows again, as hosts of edge do; test_node.py starts a host after that time.

--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -277,6 +277,13 @@
         await cluster.wait_until(
             lambda: all(host.node.quarantine.check(7) for host in hosts)
         )
+        await anyio.sleep(quarantine.REPORT_MS / 1_000)
+        hosts[2].stop()
+        hosts[2] = await testbed.start('h2', seeds=['h0'])
+        await hosts[2].node.start_up()
+        await cluster.wait_until(
+            lambda: hosts[2].node.quarantine.check(7) is not None
+        )
         hosts[0].node.quarantine.on_served(7)
         await cluster.wait_until(
             lambda: not any(host.node.quarantine.check(7) for host in hosts)
--- a/wigeonhatch/peers/exchange.py
+++ b/wigeonhatch/peers/exchange.py
@@ -78,6 +78,7 @@
         self._clock = clock
         self._rng = rng
         self._counters = counters
+        self._incarnation_by_host: dict[str, int] = {}
         self._changed = anyio.Event()
         self._busy_hosts: set[str] = set()
         membership.subscribe(self._on_change)
@@ -159,6 +160,9 @@
         )
         membership.on_digests(request.digests)
         self._merge(request.drains, request.leaving, request.splits)
+        if self._incarnation_by_host.get(sender.host) != sender.incarnation:
+            self._incarnation_by_host[sender.host] = sender.incarnation
+            self._quarantine.report_again()
         self._quarantine.on_report(_decode_crashes(request.crashes))
         newer, digests = membership.compare(
             request.digests, request.is_partial, _MAX_RECORD_BYTES
--- a/wigeonhatch/requests/quarantine.py
+++ b/wigeonhatch/requests/quarantine.py
@@ -137,6 +137,9 @@
         host: Name of this host.
         find_hosts: Returns the hosts that may receive a repeat.
         clock: Source of monotonic time.
+
+    Attributes:
+        on_change: Called when the peers have to learn of a crash at once.
     """
 
     def __init__(
