Keep quarantines in the store for hosts that hear few peers

A simulation with 20 of 60 hosts cut off from all others, each of which refuses a request after one crash, counts 6 sends later than 4 s after the third crash; 3 are allowed. Such hosts still reach the store and are bound by the rule. Statements of peers cannot reach them.

One host of each group that hears each other now writes what the group refuses to a table of the store, and one host of each group without the majority reads it each second. A whole fleet reads it once a minute, to remove rows of hosts that have gone.

--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -6,39 +6,47 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
+import weakref
 
 import pytest
 
 from tests.balance import simulation as simulations
+from tests.entry import fake_store
 from tests.faults import bounds
 from wigeonhatch import clock as clocks
+from wigeonhatch.entry import quarantine_store
 from wigeonhatch.requests import quarantine
+from wigeonhatch.standins import row_store
 
 DEADLY = 7
 SHARED = 8
 """Fingerprint of a page that many callers request."""
 RUN_MS = 60
-MAX_ARRIVALS_PER_S = 12
 ALONE = quarantine.HostView(frozenset({'h1'}), frozenset({'h1'}))
 
 
 class _Simulation(simulations.Simulation):
     """Hosts at which a deadly request arrives from `SETTLING_MS` on."""
 
-    def __init__(self, hosts: int, seed: int) -> None:
+    def __init__(self, hosts: int, arrivals_per_s: float, seed: int) -> None:
         super().__init__(hosts, seed)
-        self.sent_ms: list[int] = []
         self.late_sends = 0
         self.crashed_ms: list[int] = []
-        self._arrives_at = ''
+        self._store = fake_store.FakeStore(row_store.RowStore())
+        self._view_by_host: weakref.WeakKeyDictionary[
+            simulations.Host, quarantine_store.QuarantineStore
+        ] = weakref.WeakKeyDictionary()
+        self._chance = arrivals_per_s * simulations.STEP_MS / 1_000 / hosts
 
     def on_step(self, host: simulations.Host, now_ms: int) -> None:
         """Send the request to a target if the quarantine allows it."""
         if now_ms < simulations.SETTLING_MS:
             return
-        chance = MAX_ARRIVALS_PER_S * simulations.STEP_MS / 1_000
-        if self.rng.random() >= chance / len(self.host_by_name):
+        if now_ms % quarantine_store.INTERVAL_MS == 0:
+            _complete(self._find_view(host).run_once())
+        if self.rng.random() >= self._chance:
             return
         if host.quarantine.check(DEADLY) is not None:
             return
@@ -52,6 +60,19 @@
         if is_late and undisturbed_ms > bounds.CONVERGENCE_MS:
             self.late_sends += 1
 
+    def _find_view(
+        self, host: simulations.Host
+    ) -> quarantine_store.QuarantineStore:
+        if host not in self._view_by_host:
+            self._view_by_host[host] = quarantine_store.QuarantineStore(
+                host.name,
+                typing.cast(typing.Any, self._store),
+                host.quarantine,
+                host.fleet.selector.find_repeat_hosts,
+                self.clock,
+            )
+        return self._view_by_host[host]
+
     def on_message(
         self, host: simulations.Host, message: typing.Any, now_ms: int
     ) -> None:
@@ -64,14 +85,40 @@
             )
 
 
-@pytest.mark.parametrize('disturb', simulations.SCENARIOS)
-@pytest.mark.parametrize('hosts', [7, 60])
-@pytest.mark.parametrize('seed', [1, 2, 3])
+def _complete(
+    coroutine: collections.abc.Coroutine[None, None, None],
+) -> None:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError('the coroutine waits')
+
+
+def lasting_isolation(simulation: simulations.Simulation, now_ms: int) -> None:
+    """Cut a third of the hosts off from all others until the end."""
+    names = list(simulation.host_by_name)
+    isolated = frozenset(names[::3])
+    for host in simulation.host_by_name.values():
+        host.muted = frozenset(names) if host.name in isolated else isolated
+
+
+@pytest.mark.parametrize(
+    'disturb', [*simulations.SCENARIOS, lasting_isolation]
+)
+@pytest.mark.parametrize(
+    ('hosts', 'arrivals_per_s', 'seed'),
+    [(7, 12, 1), (7, 12, 2), (7, 3, 1), (7, 3, 2), (60, 12, 1), (60, 12, 2)],
+)
 def test_all_hosts_together_stop_a_deadly_request(
-    hosts: int, disturb: simulations.Disturb, seed: int
+    hosts: int,
+    arrivals_per_s: float,
+    seed: int,
+    disturb: simulations.Disturb,
 ) -> None:
     """Guards against hosts that each crash targets of their own."""
-    simulation = _Simulation(hosts, seed)
+    simulation = _Simulation(hosts, arrivals_per_s, seed)
     simulation.run(disturb)
     assert len(simulation.crashed_ms) >= bounds.FREE_CRASHES
     assert simulation.late_sends <= bounds.MAX_LATE_SENDS
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -29,6 +29,7 @@
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import edge_stop
 from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.entry import quarantine_store
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
@@ -111,6 +112,13 @@
             lambda state: self._store_follower.on_peer_state(state),
             clock,
         )
+        self._quarantine_store = quarantine_store.QuarantineStore(
+            settings.host,
+            self._store,
+            self._quarantine,
+            self._fleet.selector.find_repeat_hosts,
+            clock,
+        )
         self._warmups = warmup.WarmupBudget(
             settings.host, clock, self._fleet.selector.sending_hosts
         )
@@ -238,6 +246,7 @@
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._run_adjustments)
             tasks.start_soon(self._reach.run)
+            tasks.start_soon(self._quarantine_store.run)
             # The default action of a signal that arrives during the stop would
             # end the process.
             with anyio.open_signal_receiver(
--- a/wigeonhatch/platform/names.py
+++ b/wigeonhatch/platform/names.py
@@ -6,6 +6,7 @@
 OPERATOR_TABLE = 'op'
 TARGET_TABLE = 'servers'
 HOST_TABLE = 'wigeonhatch_hosts'
+QUARANTINE_TABLE = 'wigeonhatch_quarantine'
 
 CONFIG_KEY = 'config'
 EVACUATE_PREFIX = 'evacuate/'
--- a/wigeonhatch/requests/quarantine.py
+++ b/wigeonhatch/requests/quarantine.py
@@ -246,17 +246,26 @@
             if now_ms - item[1].changed_ms < REPORT_MS
         ]
         return tuple(
-            CrashStatement(
-                fingerprint,
-                {
-                    target: now_ms - at_ms
-                    for target, at_ms in entry.crashed_ms_by_target.items()
-                },
-                None if entry.served_ms is None else now_ms - entry.served_ms,
-            )
+            _build_statement(fingerprint, entry, now_ms)
             for fingerprint, entry in _select_reported(changed, now_ms)
         )
 
+    def refused(self) -> list[CrashStatement]:
+        """List the requests that this host refuses, latest crash first."""
+        if not self._entry_by_fingerprint:
+            return []
+        limit = self._limit()
+        entries = [
+            item
+            for item in self._entry_by_fingerprint.items()
+            if item[1].crash_count >= limit
+        ]
+        entries.sort(key=lambda item: -item[1].changed_ms)
+        return [
+            _build_statement(fingerprint, entry, self._clock.now_ms)
+            for fingerprint, entry in entries
+        ]
+
     def report_again(self) -> None:
         """Report everything to a peer that has started or is reached again."""
         for entry in self._entry_by_fingerprint.values():
@@ -341,6 +350,19 @@
         del self._entry_by_fingerprint[evicted]
 
 
+def _build_statement(
+    fingerprint: int, entry: _Entry, now_ms: int
+) -> CrashStatement:
+    return CrashStatement(
+        fingerprint,
+        {
+            target: now_ms - at_ms
+            for target, at_ms in entry.crashed_ms_by_target.items()
+        },
+        None if entry.served_ms is None else now_ms - entry.served_ms,
+    )
+
+
 def _refuse(
     fingerprint: int, count: int, reason: str, retry_after_ms: int
 ) -> Quarantined:
