Measure shifts between regions from the logs of hosts

`wigeonhatch shifts FILE...` compares all adjacent windows of 2 s by region and states what chance alone explains; `started` now names the region.

--- a/wigeonhatch/cli/commands.py
+++ b/wigeonhatch/cli/commands.py
@@ -15,11 +15,13 @@
 from wigeonhatch.cli import _arguments
 from wigeonhatch.cli import access
 from wigeonhatch.cli import client as clients
+from wigeonhatch.cli import code_list
 from wigeonhatch.cli import confirmation
 from wigeonhatch.cli import daemons
 from wigeonhatch.cli import explain
 from wigeonhatch.cli import render
 from wigeonhatch.cli import reports
+from wigeonhatch.cli import shifts
 from wigeonhatch.config import check as checks
 from wigeonhatch.config import diff as diffs
 from wigeonhatch.config import drains
@@ -258,21 +260,6 @@
     return reports.output(json, result.value, render.audit(result.value))
 
 
-def list_codes(*, json: str = '', markdown: str = '') -> int:
-    """List the result codes and exit statuses.
-
-    wigeonhatch codes [--json] [--markdown]
-
-    Examples:
-      wigeonhatch codes
-    """
-    if _arguments.is_enabled(markdown):
-        return reports.output('', None, render.code_page())
-    rows = list(render.code_rows())
-    value = [dict(zip(render.CODE_HEADER, row)) for row in rows]
-    return reports.output(json, value, render.table(render.CODE_HEADER, rows))
-
-
 COMMAND_BY_NAME: dict[str, _arguments.Command] = {
     'check': check,
     'diff': diff,
@@ -282,8 +269,9 @@
     'drain': drain,
     'undrain': undrain,
     'audit': audit,
-    'codes': list_codes,
+    'codes': code_list.list_codes,
     'explain': explain.explain,
+    'shifts': shifts.shifts,
     'entry': daemons.entry,
     'edge': daemons.edge,
 }
@@ -359,9 +347,9 @@
         'version': accepted.version,
         'change_id': accepted.change_id,
         'changed': accepted.changed,
-        'confirmation': state
-        if isinstance(state, services.Confirmation)
-        else None,
+        'confirmation': (
+            state if isinstance(state, services.Confirmation) else None
+        ),
     }
     if code is not codes.ResultCode.OK and not _arguments.is_enabled(json):
         sys.stderr.write(reports.format_title(code))
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -30,6 +30,7 @@
 from wigeonhatch.entry import edge_stop
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import quarantine_store
+from wigeonhatch.entry import retry_share
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
@@ -39,7 +40,6 @@
 from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
-from wigeonhatch.requests import retry
 from wigeonhatch.requests import server as request_server
 from wigeonhatch.routes import model
 from wigeonhatch.routes import table as tables
@@ -51,8 +51,6 @@
 CONNECT_TIMEOUT_MS = 300
 """Timeout for a connection to a target. A round trip takes up to 90 ms, and
 the request can be retried at another target afterwards."""
-RETRY_FRACTION = 0.5
-"""Fraction of the agreed retries to use, since counts differ among hosts."""
 KEEP_ALIVE_MARGIN_S = 1.0
 """Margin on the idle timeout of callers' connections. A caller that observes
 the timeout never sends a request on a connection that the host closes."""
@@ -195,7 +193,9 @@
                 self._fleet.selector.find_forwarding_peers,
                 clock,
             ),
-            self._build_retry_budget,
+            lambda: retry_share.build_retry_budget(
+                lambda: self._settings.bounds, self._count_hosts
+            ),
             clock,
         )
         self._application = edges.EdgeApplication(
@@ -236,7 +236,13 @@
             self._peer_application,
             app,
         )
-        log.event(_LOG, 'started', host=settings.host, domain=settings.domain)
+        log.event(
+            _LOG,
+            'started',
+            host=settings.host,
+            domain=settings.domain,
+            region=settings.region,
+        )
         async with anyio.create_task_group() as tasks:
             await self._fleet.open()
             for server in servers:
@@ -349,20 +355,12 @@
             }
         )
 
-    def _build_retry_budget(self) -> retry.RetryBudget:
-        ratio = self._settings.bounds.retry_ratio
-        return retry.RetryBudget(
-            int(ratio * RETRY_FRACTION * 100), self._count_burst_retries
-        )
-
-    def _count_burst_retries(self) -> int:
-        """Share of this host in the retries that all hosts may save up."""
-        host_count = max(
+    def _count_hosts(self) -> int:
+        """Number of hosts that share the agreed retries."""
+        return max(
             len(self._settings.region_by_domain),
             len(self._fleet.roster.ip_by_host) + 1,
         )
-        slack = self._settings.bounds.retry_slack * RETRY_FRACTION
-        return max(1, int(slack / host_count))
 
     def _find_target_region(self, name: str) -> str:
         record = self._targets.record_by_name.get(name)
