--- a/tests/balance/simulation.py
+++ b/tests/balance/simulation.py
@@ -44,6 +44,7 @@
         self.down_until_ms = 0
         self.frozen_until_ms = 0
         self.muted: frozenset[str] = frozenset()
+        self.loads = loads.LoadTable(simulation.clock)
         self.limits = rate_limits.RateLimitTable(simulation.clock)
         self.quarantine = quarantine.QuarantineTable(
             self.name,
@@ -69,10 +70,17 @@
         self.fleet = fleets.Fleet(
             settings,
             typing.cast(typing.Any, None),
-            loads.LoadTable(simulation.clock),
+            self.loads,
             self.limits,
             self.quarantine,
-            lambda: state_link.HostReport(True, True, 0, 1.0, 1, {}),
+            lambda: state_link.HostReport(
+                True,
+                True,
+                0,
+                1.0,
+                1,
+                {},
+            ),
             lambda state: None,
             simulation.clock,
         )
@@ -124,13 +132,17 @@
     def on_message(self, host: Host, message: typing.Any, now_ms: int) -> None:
         """Let a host receive a message that is not the state of a peer."""
 
-    def run(self, disturb: Disturb) -> None:
-        """Run until `END_MS`.
+    def on_tick(self, now_ms: int) -> None:
+        """Let what is outside the hosts act."""
+
+    def run(self, disturb: Disturb, end_ms: int = END_MS) -> None:
+        """Run until a time.
 
         Args:
             disturb: Called once a second with the time in ms.
+            end_ms: End in ms.
         """
-        for now_ms in range(0, END_MS, STEP_MS):
+        for now_ms in range(0, end_ms, STEP_MS):
             if now_ms % 1_000 == 0 and now_ms >= SETTLING_MS:
                 disturb(self, now_ms)
             self._deliver(now_ms)
@@ -140,6 +152,7 @@
                 if now_ms % state_link.INTERVAL_MS == 0:
                     host.fleet._send(())
                 self.on_step(host, now_ms)
+            self.on_tick(now_ms)
             self.clock.advance(STEP_MS)
 
     def restart(self, host: Host, down_ms: int) -> None:
