Let all hosts of a region follow one distribution within the cap

Cause: two components chose the region. The plan of each service moved within the cap; a fallback behind it used any free slot, and decided where most requests of a full region ran. The first repair bounded the fallback by comparing a host's requests with those of the window before, which says nothing in the first windows, and so was off for 6 s.

Change: the region has one distribution over regions for all requests, whichever service they are for. Each host counts what each region is owed and keeps within one to three requests of it, so that the sum follows whatever each host receives. A region that cannot run its fraction holds the others back. Nothing moves without requests. Lost slots move at once only what the other slots of their region cannot serve. Refused requests count as demand, without which the plan of an overloaded region stays too high. A changed cap applies on SIGHUP.

--- a/benchmarks/edge_control.py
+++ b/benchmarks/edge_control.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections.abc
+import random
 import time
 
 import msgspec
@@ -83,7 +84,14 @@
     ejections = ejection.EjectionTable(clock)
     picker = pickers.Picker(
         region_selector.RegionSelector(
-            'r', {'a': 'r'}, 0.15, targets, load_table, ejections, clock
+            'r',
+            {'a': 'r'},
+            0.15,
+            targets,
+            load_table,
+            ejections,
+            lambda: (),
+            random.Random(1),
         ),
         targets,
         load_table,
--- a/tests/balance/simulation.py
+++ b/tests/balance/simulation.py
@@ -18,6 +18,7 @@
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.peers import region_fractions
 from wigeonhatch.peers import state_link
 from wigeonhatch.requests import quarantine
 
@@ -80,10 +81,14 @@
                 1.0,
                 1,
                 {},
+                fractions_by_region=self.fractions.report,
             ),
             lambda state: None,
             simulation.clock,
         )
+        self.fractions = region_fractions.RegionFractions(
+            self.region, self.fleet.peers
+        )
         self.fleet._incarnation += simulation.clock.now_ms
         self.fleet._link = typing.cast(typing.Any, self)
         self.rates = rate_budget.RateBudget(
--- a/tests/metrics/test_collector.py
+++ b/tests/metrics/test_collector.py
@@ -36,6 +36,7 @@
     metrics.on_drained('target', 1_500_000)
     metrics.set_control_counters(lambda: {'bytes_sent': 1_000})
     metrics.set_selection_counters(lambda: {('a', 'north', True): 4})
+    metrics.set_largest_shift(lambda: 0.12)
     metrics.on_violation('shift cap')
     samples = _samples(metrics)
     for name, value in (
@@ -53,6 +54,7 @@
             4,
         ),
         ('invariant_violations_total{invariant="shift cap"}', 2),
+        ('region_shift_fraction', 0.12),
         ('config_version', 7),
         ('slots_free{region="north",service="a"}', 3),
         ('slots_used{region="north",service="a"}', 2),
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -100,3 +100,34 @@
     except ValueError:
         return
     raise AssertionError('a malformed row was accepted')
+
+
+def test_state_fits_into_one_packet() -> None:
+    """Guards against datagrams that are lost because they are fragmented."""
+    fractions = {
+        region: {f'region-{number}': 303 for number in range(33)}
+        for region in ('region-1', 'region-2', 'region-3')
+    }
+    report = msgspec.structs.replace(
+        STATE.report, fractions_by_region=fractions
+    )
+    counts = {f'i-{number:010x}': number + 1 for number in range(100)}
+    state = msgspec.structs.replace(
+        STATE, report=report, count_by_target=counts
+    )
+    data = state_link.encode_state(state)
+    assert len(data) <= state_link.MAX_BYTES
+    kept = msgspec.msgpack.decode(data, type=state_link.HostState)
+    assert kept.report == report
+    busiest = sorted(counts.values())[-len(kept.count_by_target) :]
+    assert sorted(kept.count_by_target.values()) == busiest
+
+
+def test_state_that_fits_is_complete() -> None:
+    """Guards against targets that are left out without need."""
+    counts = {f'i-{number:010x}': 1 for number in range(60)}
+    state = msgspec.structs.replace(STATE, count_by_target=counts)
+    kept = msgspec.msgpack.decode(
+        state_link.encode_state(state), type=state_link.HostState
+    )
+    assert kept.count_by_target == counts
--- a/wigeonhatch/balance/region_selector.py
+++ b/wigeonhatch/balance/region_selector.py
@@ -5,19 +5,27 @@
 import collections
 import collections.abc
 import logging
+import random
 
-from wigeonhatch import clock as clocks
 from wigeonhatch import log
+from wigeonhatch.balance import _distributions
+from wigeonhatch.balance import _move_detector
+from wigeonhatch.balance import _request_mix
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import region_split
 from wigeonhatch.balance import shift_limit
+from wigeonhatch.balance import shift_meter
 from wigeonhatch.targets import registry
 
 _SMOOTHING = 0.3
 """Smoothing factor of the load; the average covers about the last 1.5 s."""
 _LOG = logging.getLogger(__name__)
 
+_ALL_REGIONS: frozenset[str] = frozenset()
+FindPeers = collections.abc.Callable[
+    [], collections.abc.Sequence[shift_limit.Fractions]
+]
 Selection = tuple[str, str, bool]
 """Service and region of an attempt, and whether the split had selected another
 region."""
@@ -36,7 +44,8 @@
         targets: Listed targets.
         load_table: Requests in progress.
         ejections: Targets that are ejected because they fail.
-        clock: Source of monotonic time.
+        find_peers: Returns the distributions that the peers of the region use.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -47,39 +56,61 @@
         targets: registry.TargetRegistry,
         load_table: loads.LoadTable,
         ejections: ejection.EjectionTable,
-        clock: clocks.Clock,
+        find_peers: FindPeers,
+        rng: random.Random,
     ) -> None:
         self.count_by_selection: collections.Counter[Selection] = (
             collections.Counter()
         )
         self._own_region = own_region
         self._region_by_domain = region_by_domain
-        self._max_shift = max_shift
         self._targets = targets
         self._loads = load_table
         self._ejections = ejections
-        self._limit = shift_limit.ShiftLimit(max_shift, clock)
+        self._find_peers = find_peers
+        self.meter = shift_meter.ShiftMeter()
+        self._limit = shift_limit.ShiftLimit(max_shift, rng)
         self._split_by_service: dict[str, region_split.RegionSplit] = {}
         self._load_by_service: dict[str, dict[str, float]] = {}
+        self._slots_by_service: dict[str, dict[str, int]] = {}
+        self._moves: dict[str, _move_detector.MoveDetector] = (
+            collections.defaultdict(_move_detector.MoveDetector)
+        )
+        self._mix = _request_mix.RequestMix()
 
     def retain(self, services: collections.abc.Set[str]) -> None:
         """Discard the splits of all services except the given ones."""
         for name in self._split_by_service.keys() - services:
             del self._split_by_service[name]
             self._load_by_service.pop(name, None)
+            self._slots_by_service.pop(name, None)
+            self._moves.pop(name, None)
 
     def region_of(self, domain: str) -> str:
         """Region of a failure domain; the domain itself if it has none."""
         return self._region_by_domain.get(domain, domain)
 
+    def set_max_shift(self, max_shift: float) -> None:
+        """Change the cap.
+
+        Args:
+            max_shift: Largest fraction of a region's requests that may move
+                within the window of the cap.
+        """
+        self._limit.max_shift = max_shift
+
+    @property
+    def fraction_by_region(self) -> shift_limit.Fractions:
+        """Distribution of the requests; empty before the first one."""
+        return self._limit.fraction_by_region
+
     def select(
         self, service: str, regions: frozenset[str], affinity_key: bytes
     ) -> tuple[str | None, collections.abc.Iterator[str]]:
         """Select the regions of a request.
 
-        Regions beyond the cap are left out, except the own region, which comes
-        last: requests that return to it early are better than refused ones.
-        The cap does not apply if the own region cannot serve the request.
+        Regions beyond the cap are left out. The cap does not apply if the own
+        region has no target of the service, or all of them have failed.
 
         Args:
             service: Name of the service.
@@ -92,9 +123,11 @@
         """
         own = self._own_region
         split = self._split(service)
-        first = split.choose(regions, affinity_key)
-        if first is not None:
-            self._limit.on_choice(split.fractions_among(regions), first)
+        self._start()
+        self._mix.on_request(service, regions)
+        first = split.choose(
+            self._limit.correct(split.fractions_among(regions)), affinity_key
+        )
         order = sorted(
             regions,
             key=lambda region: (
@@ -104,9 +137,16 @@
                 region,
             ),
         )
-        if own not in regions or len(order) == 1:
+        # A region of which all targets have failed holds no others back.
+        slots = self._slots_by_service.get(service, {})
+        usable = frozenset(region for region in regions if slots.get(region))
+        if own not in usable or len(order) == 1:
             return first, iter(order)
-        return first, self._within_cap(order)
+        return first, (
+            region
+            for region in order
+            if self._limit.allows(region, usable, region != first)
+        )
 
     def on_request(
         self, service: str, region: str, split_region: str | None
@@ -118,7 +158,9 @@
             region: Region of its target.
             split_region: Region that the split selected.
         """
+        self._mix.on_sent(service)
         self._limit.on_request(region)
+        self.meter.on_request(region)
         self.count_by_selection[service, region, region != split_region] += 1
 
     def adjust(
@@ -133,53 +175,127 @@
             region_by_host: Region of each host that may report loads.
         """
         in_progress = self._count_in_progress(region_by_host)
-        lost_load = total_load = 0.0
-        for service in services:
-            slots = self._count_slots(service)
-            load = self._load_by_service.setdefault(service, {})
-            for region in dict.fromkeys(self._region_by_domain.values()):
-                load[region] = (1 - _SMOOTHING) * load.get(
-                    region, 0.0
-                ) + _SMOOTHING * in_progress.get((service, region), 0)
-            split = self._split(service)
-            lost = split.adjust(
+        lost_by_service = {
+            service: self._adjust_split(service, in_progress)
+            for service in services
+        }
+        if not self._limit.fraction_by_region:
+            return
+        weights = self._mix.fractions()
+        lost: shift_limit.Fractions = {}
+        for (service, _), weight in weights.items():
+            for region, fraction in lost_by_service.get(service, {}).items():
+                lost[region] = lost.get(region, 0.0) + weight * fraction
+        self._mix.decay()
+        planned = self._plan(weights)
+        peers = self._find_peers()
+        self._limit.move(planned, peers, lost)
+        self.meter.advance()
+        if self._moves[''].has_moved(self._limit.fraction_by_region):
+            log.event(
+                _LOG,
+                'region distribution moved',
+                fractions=_rounded(self._limit.fraction_by_region),
+                planned=_rounded(planned),
+                lost=_rounded(lost),
+                peers=len(peers),
+            )
+
+    def _adjust_split(
+        self,
+        service: str,
+        in_progress: collections.abc.Mapping[tuple[str, str], int],
+    ) -> shift_limit.Fractions:
+        """Move the split of a service; return what has to leave regions."""
+        slots = self._slots_by_service[service] = self._count_slots(service)
+        regions = dict.fromkeys(self._region_by_domain.values())
+        counts = {
+            region: in_progress.get((service, region), 0) for region in regions
+        }
+        load = self._load_by_service.get(service, {})
+        if not self._limit.fraction_by_region or not load:
+            assumed = region_split.assume_loads(slots, regions)
+            # A few requests that have just arrived tell little of the demand.
+            load = {
+                region: max(counts[region], assumed[region])
+                for region in regions
+            }
+        elif any(counts.values()):
+            load = {
+                region: load[region] + _SMOOTHING * (count - load[region])
+                for region, count in counts.items()
+            }
+        self._load_by_service[service] = load
+        # Refused requests of the own region are demand as well.
+        demand = {
+            **load,
+            self._own_region: load[self._own_region]
+            * self._mix.excess(service),
+        }
+        split = self._split(service)
+        lost = split.adjust(
+            {
+                region: region_split.RegionLoad(
+                    demand[region], slots.get(region, 0)
+                )
+                for region in load
+            },
+            self._limit.max_step,
+        )
+        if self._moves[service].has_moved(split.fraction_by_region):
+            log.event(
+                _LOG,
+                'region split moved',
+                service=service,
+                fractions=_rounded(split.fraction_by_region),
+                in_progress=_rounded(load),
+                demand=_rounded(demand),
+                slots=slots,
+            )
+        return lost
+
+    def _start(self) -> None:
+        """Start the distribution with the first request."""
+        if self._limit.fraction_by_region:
+            return
+        peers = self._find_peers()
+        if peers:
+            self._limit.start(_distributions.mean_fractions(peers))
+            return
+        self._limit.start(
+            self._plan(
                 {
-                    region: region_split.RegionLoad(
-                        load[region], slots.get(region, 0)
+                    (service, _ALL_REGIONS): sum(
+                        self._count_slots(service).values()
                     )
-                    for region in load
+                    for service in self._split_by_service
                 }
             )
-            total_load += load[self._own_region]
-            lost_load += lost * load[self._own_region]
-            if split.has_moved():
-                log.event(
-                    _LOG,
-                    'region split moved',
-                    service=service,
-                    fractions=_rounded(split.fraction_by_region),
-                    in_progress=_rounded(load),
-                    slots=slots,
-                )
-        if lost_load:
-            self._limit.on_loss(lost_load / total_load)
-
-    def _within_cap(self, order: list[str]) -> collections.abc.Iterator[str]:
-        """Yield the regions within the cap, and the own region in any case."""
-        is_own_allowed = True
-        for region in order:
-            if self._limit.allows(region):
-                yield region
-            elif region == self._own_region:
-                is_own_allowed = False
-        if not is_own_allowed:
-            yield self._own_region
+        )
+
+    def _plan(
+        self, weights: collections.abc.Mapping[_request_mix.Key, float]
+    ) -> shift_limit.Fractions:
+        """Plan the distribution of all requests.
+
+        Args:
+            weights: Requests by service and regions that may serve them.
+        """
+        planned: shift_limit.Fractions = {}
+        for (service, regions), weight in weights.items():
+            split = self._split(service)
+            fractions = split.fractions_among(
+                regions or split.fraction_by_region.keys()
+            )
+            for region, fraction in fractions.items():
+                planned[region] = planned.get(region, 0.0) + weight * fraction
+        return _distributions.normalize(planned)
 
     def _split(self, service: str) -> region_split.RegionSplit:
         split = self._split_by_service.get(service)
         if split is None:
             split = self._split_by_service[service] = region_split.RegionSplit(
-                self._own_region, self._max_shift
+                self._own_region
             )
         return split
 
--- a/wigeonhatch/balance/region_split.py
+++ b/wigeonhatch/balance/region_split.py
@@ -2,25 +2,28 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import math
 
 import xxhash
 
-from wigeonhatch.balance import shift_limit
+from wigeonhatch.balance import _distributions
 
-ADJUST_INTERVAL_MS = 500
-_CAP_FRACTION = 0.6
-"""Fraction of the cap that is used; the rest allows for random variations of
-the traffic."""
+_STEP_RATIO = 2.0
+"""Ratio of a service's steps to those of all requests together, which
+`ShiftLimit` keeps within the cap."""
 MAX_LOCAL_LOAD = 0.7
 """Load up to which a region serves its own requests, to leave headroom."""
+FULL_LOAD = 1.0
+"""Load above which requests leave a region at once if it has lost slots."""
 MAX_EXCESS = 3.0
 """Requests that a region may receive in excess of its fraction."""
+_LOSS_STEPS = 8
+"""Steps for which requests of lost slots may leave a region at once. The load
+that remains shows after some of them."""
 _HASH_RANGE = 2.0**64 + 1
-_MIN_LOGGED_MOVE = 0.02
-"""Smallest move of the fractions that is worth a line in the log."""
 _BALANCE_MARGIN = 1.1
 """Ratio to the average load from which a region sends requests to others."""
 
@@ -39,8 +42,27 @@
     slots: int
 
 
+def assume_loads(
+    slots_by_region: collections.abc.Mapping[str, int],
+    regions: collections.abc.Collection[str],
+) -> dict[str, float]:
+    """Assume the loads before any request: equal demand that fills all slots.
+
+    Args:
+        slots_by_region: Slots of the usable targets by region.
+        regions: All regions.
+
+    Returns:
+        Requests in progress by region of the callers.
+    """
+    total = sum(slots_by_region.values())
+    return {region: total / len(regions) for region in regions}
+
+
 def plan_fractions(
-    own: str, load_by_region: collections.abc.Mapping[str, RegionLoad]
+    own: str,
+    load_by_region: collections.abc.Mapping[str, RegionLoad],
+    max_local_load: float = MAX_LOCAL_LOAD,
 ) -> dict[str, float]:
     """Plan the fractions of one region's requests that all regions serve.
 
@@ -50,6 +72,7 @@
     Args:
         own: Region whose requests are distributed.
         load_by_region: Load of the service in each region.
+        max_local_load: Load up to which a region serves its own requests.
 
     Returns:
         Fraction of each region with slots; they add up to 1. Empty if no
@@ -59,7 +82,7 @@
     if not slots:
         return {}
     average = sum(load.in_progress for load in load_by_region.values()) / slots
-    max_load = max(MAX_LOCAL_LOAD, average * _BALANCE_MARGIN)
+    max_load = max(max_local_load, average * _BALANCE_MARGIN)
     spare_by_region = {
         region: max(0.0, load.slots * max_load - load.in_progress)
         for region, load in load_by_region.items()
@@ -92,61 +115,51 @@
 
 
 class RegionSplit:
-    """Fractions of one service's requests, adjusted in bounded steps.
+    """Fractions of one service's requests, adjusted in steps.
 
     Args:
         own: Region of this host.
-        max_shift: Largest fraction that may move within the window of the cap.
     """
 
-    def __init__(self, own: str, max_shift: float) -> None:
+    def __init__(self, own: str) -> None:
         self.fraction_by_region: dict[str, float] = {}
         self._own = own
-        self._max_step = (
-            max_shift
-            * _CAP_FRACTION
-            * ADJUST_INTERVAL_MS
-            / shift_limit.WINDOW_MS
-        )
         self._slots_by_region: dict[str, int] = {}
+        self._losses: collections.deque[dict[str, float]] = collections.deque(
+            maxlen=_LOSS_STEPS
+        )
         self._credit_by_region: dict[str, float] = {}
-        self._logged_by_region: dict[str, float] = {}
 
     def adjust(
-        self, load_by_region: collections.abc.Mapping[str, RegionLoad]
-    ) -> float:
+        self,
+        load_by_region: collections.abc.Mapping[str, RegionLoad],
+        max_step: float,
+    ) -> dict[str, float]:
         """Move the fractions one step towards the plan.
 
-        If a region has lost slots since the last step, the fraction that these
-        slots served may move at once.
-
         Args:
             load_by_region: Load of the service in each region.
+            max_step: Step of all requests together.
 
         Returns:
-            Fraction that lost slots served.
+            Fraction that has to leave each region at once, since slots that
+            served it are lost and the others are full.
         """
-        lost = 0.0
+        lost: dict[str, float] = {}
         planned = plan_fractions(self._own, load_by_region)
         slots = {region: load.slots for region, load in load_by_region.items()}
         if not self.fraction_by_region or not planned:
             self.fraction_by_region = planned
         else:
-            lost = self._lost_fraction(slots)
-            self.fraction_by_region = _step_towards(
-                self.fraction_by_region, planned, max(self._max_step, lost)
+            lost = self._leaving_fractions(load_by_region)
+            self.fraction_by_region = _distributions.step_towards(
+                self.fraction_by_region,
+                planned,
+                max(_STEP_RATIO * max_step, sum(lost.values())),
             )
         self._slots_by_region = slots
         return lost
 
-    def has_moved(self) -> bool:
-        """Whether the fractions have moved noticeably since the last time."""
-        moved = _distance(self._logged_by_region, self.fraction_by_region)
-        if moved < _MIN_LOGGED_MOVE:
-            return False
-        self._logged_by_region = dict(self.fraction_by_region)
-        return True
-
     def fractions_among(
         self, allowed: collections.abc.Set[str]
     ) -> dict[str, float]:
@@ -156,20 +169,20 @@
             allowed: Regions that may serve a request.
 
         Returns:
-            Fraction of each region that has one; empty if none has.
+            Fraction of each region; equal ones if the plan uses none of them.
         """
-        fractions = {
-            region: fraction
-            for region, fraction in self.fraction_by_region.items()
-            if region in allowed and fraction > 0
-        }
-        total = sum(fractions.values())
-        return {
-            region: fraction / total for region, fraction in fractions.items()
-        }
+        return _distributions.normalize(
+            {
+                region: fraction
+                for region, fraction in self.fraction_by_region.items()
+                if region in allowed
+            }
+        ) or dict.fromkeys(sorted(allowed), 1 / max(1, len(allowed)))
 
     def choose(
-        self, allowed: collections.abc.Set[str], affinity_key: bytes
+        self,
+        fractions: collections.abc.Mapping[str, float],
+        affinity_key: bytes,
     ) -> str | None:
         """Select the region of the next request.
 
@@ -179,13 +192,12 @@
         times.
 
         Args:
-            allowed: Regions that may serve the request.
+            fractions: Fraction of each region that may serve the request.
             affinity_key: Affinity key of the request; empty for none.
 
         Returns:
-            The region; None if no allowed region has a fraction.
+            The region; None if no region has a fraction.
         """
-        fractions = self.fractions_among(allowed)
         if not fractions:
             return None
         credit = self._credit_by_region
@@ -199,17 +211,37 @@
         credit[selected] = max(-2 * MAX_EXCESS, credit[selected] - 1.0)
         return selected
 
-    def _lost_fraction(self, slots: dict[str, int]) -> float:
-        lost = 0.0
+    def _leaving_fractions(
+        self, load_by_region: collections.abc.Mapping[str, RegionLoad]
+    ) -> dict[str, float]:
+        """Fractions of recently lost slots that the others cannot serve."""
+        lost: dict[str, float] = {}
         for region, fraction in self.fraction_by_region.items():
             before = self._slots_by_region.get(region, 0)
-            now = slots.get(region, 0)
+            load = load_by_region.get(region)
+            now = 0 if load is None else load.slots
             if now < before:
-                lost += fraction * (before - now) / before
-        return lost
-
-
-def _select_by_hash(fractions: dict[str, float], affinity_key: bytes) -> str:
+                lost[region] = fraction * (before - now) / before
+        self._losses.append(lost)
+        full = plan_fractions(self._own, load_by_region, FULL_LOAD)
+        leaving: dict[str, float] = {}
+        for losses in self._losses:
+            for region, fraction in losses.items():
+                excess = (
+                    self.fraction_by_region.get(region, 0.0)
+                    - full.get(region, 0.0)
+                    - leaving.get(region, 0.0)
+                )
+                part = min(fraction, excess)
+                if part > 0:
+                    losses[region] -= part
+                    leaving[region] = leaving.get(region, 0.0) + part
+        return leaving
+
+
+def _select_by_hash(
+    fractions: collections.abc.Mapping[str, float], affinity_key: bytes
+) -> str:
     """Select a region by weighted rendezvous hashing."""
 
     def score(region: str) -> float:
@@ -219,31 +251,3 @@
         return fractions[region] / -math.log((digest + 1) / _HASH_RANGE)
 
     return max(fractions, key=score)
-
-
-def _step_towards(
-    current: dict[str, float], planned: dict[str, float], max_step: float
-) -> dict[str, float]:
-    distance = _distance(current, planned)
-    if distance <= max_step:
-        return dict(planned)
-    ratio = max_step / distance
-    return {
-        region: current.get(region, 0.0)
-        + ratio * (planned.get(region, 0.0) - current.get(region, 0.0))
-        for region in {**planned, **current}
-    }
-
-
-def _distance(
-    first: collections.abc.Mapping[str, float],
-    second: collections.abc.Mapping[str, float],
-) -> float:
-    """Fraction that moves between two distributions."""
-    return (
-        sum(
-            abs(first.get(region, 0.0) - second.get(region, 0.0))
-            for region in {**first, **second}
-        )
-        / 2
-    )
--- a/wigeonhatch/balance/shift_limit.py
+++ b/wigeonhatch/balance/shift_limit.py
@@ -1,165 +1,194 @@
-"""Limit on how fast the requests of a host change their region."""
+"""Distribution of all requests of a region, which moves within a cap."""
 
 from __future__ import annotations
 
-import collections
 import collections.abc
+import random
 
-from wigeonhatch import clock as clocks
+from wigeonhatch.balance import _distributions
 
 WINDOW_MS = 2_000
 """Window to which the operators' cap on shifts applies."""
-CAP_FRACTION = 0.7
-"""Fraction of the cap that is used, since hosts receive different traffic."""
-_BUCKET_MS = 250
-_BUCKETS_PER_WINDOW = WINDOW_MS // _BUCKET_MS
-_LATEST_BUCKETS = _BUCKETS_PER_WINDOW // 2
-"""The limit also applies to the last half of a window, which keeps the other
-half from setting it if the traffic has just decreased."""
-_SETTLING_MS = 3 * WINDOW_MS
-"""Time after the first request from which the limit applies. The requests of
-the first window fill free slots and empty caches, so that the next ones cannot
-follow them."""
-_MIN_EXCESS = 1.0
-"""Requests that may always change their region, since few requests cannot
-follow fractions exactly."""
-_LOSS_MS = 2 * WINDOW_MS
-"""Time for which the earlier window contains requests from before a loss."""
-
-Counts = dict[str, float]
-"""Requests by region; fractional, see `ShiftLimit.on_choice`."""
+ADJUST_INTERVAL_MS = 500
+"""Interval of the steps in which the distribution moves."""
+CAP_FRACTION = 0.6
+"""Fraction of the cap that the steps of a window use; the rest allows for
+random variations of the traffic."""
+_DEVIATION = 0.03
+"""Deviation that a split's choices may cause, as a fraction of the requests of
+a window, within the limits below."""
+_MIN_DEVIATION = 1.0
+_MAX_DEVIATION = 3.0
+_OVERFLOW_DEVIATION = 0.01
+"""Deviation that overflow may cause, as a fraction of the requests of a
+window; all hosts deviate in the same direction if a region is full."""
+_MIN_OVERFLOW = 0.5
+_CORRECTION = 0.3
+"""Change of a region's fraction for each request that it is owed."""
+_SMOOTHING = 0.3
+"""Smoothing factor of the requests per window; averages about 1.5 s."""
+
+Fractions = _distributions.Fractions
 
 
 class ShiftLimit:
-    """Compare the regions of the last requests with those of earlier ones.
+    """Keep the regions of a host's requests close to a shared distribution.
 
-    The hosts of a region apply the limit to their own requests; the requests
-    of the region then stay within it as well.
+    The distribution starts from what the peers of the region use, and moves
+    in bounded steps. All hosts of the region follow it closely, so that the
+    sum of their requests does as well, whatever each of them receives.
+
+    `fraction_by_region` is empty before the first request.
 
     Args:
         max_shift: Largest fraction of the requests that may change their
             region from one window to the next.
-        clock: Source of monotonic time.
+        rng: Source of randomness.
     """
 
-    def __init__(self, max_shift: float, clock: clocks.Clock) -> None:
-        self._max_shift = max_shift * CAP_FRACTION
-        self._clock = clock
-        self._buckets: collections.deque[Counts] = collections.deque(
-            ({} for _ in range(2 * _BUCKETS_PER_WINDOW)),
-            2 * _BUCKETS_PER_WINDOW,
-        )
-        self._latest: Counts = {}
-        self._recent: Counts = {}
-        self._earlier: Counts = {}
-        self._bucket_index = clock.now_ms // _BUCKET_MS
-        self._first_ms: int | None = None
-        self._last_ms = clock.now_ms
-        self._losses: collections.deque[tuple[int, float]] = (
-            collections.deque()
-        )
+    def __init__(self, max_shift: float, rng: random.Random) -> None:
+        self.max_shift = max_shift
+        self.fraction_by_region: Fractions = {}
+        self._rng = rng
+        self._credit_by_region: Fractions = {}
+        self._requests_per_window = 0.0
+        self._new_requests = 0
 
-    def allows(self, region: str) -> bool:
-        """Tell whether a request may be sent to a region.
+    @property
+    def max_step(self) -> float:
+        """Largest fraction that moves in one step."""
+        return self.max_shift * CAP_FRACTION * ADJUST_INTERVAL_MS / WINDOW_MS
+
+    def start(self, fraction_by_region: Fractions) -> None:
+        """Set the distribution before the first request.
 
         Args:
-            region: Name of the region.
+            fraction_by_region: Distribution of the peers or the planned one.
         """
-        self._advance()
-        now_ms = self._clock.now_ms
-        if self._first_ms is None or now_ms - self._first_ms < _SETTLING_MS:
-            return True
-        if sum(self._earlier.values()) <= 0:
-            return True
-        while self._losses and self._losses[0][0] < now_ms - _LOSS_MS:
-            self._losses.popleft()
-        limit = self._max_shift + sum(lost for _, lost in self._losses)
-        return all(
-            _is_within(limit, self._earlier, counts, region)
-            for counts in (self._latest, self._recent)
-        )
+        self.fraction_by_region = dict(fraction_by_region)
+        # Hosts that start together would otherwise all send their first
+        # request to the same region.
+        for region in fraction_by_region:
+            self._credit_by_region[region] = self._rng.uniform(-0.5, 0.5)
 
-    def on_choice(
+    def move(
         self,
-        fraction_by_region: collections.abc.Mapping[str, float],
-        selected: str,
+        planned: Fractions,
+        peers: collections.abc.Sequence[Fractions],
+        lost: Fractions,
     ) -> None:
-        """Record which region the split has selected for a request.
-
-        The split follows its fractions only on average. A host counts the
-        fractions in place of the selected regions, since the differences are
-        random and cancel out over all hosts; on a host with few requests they
-        would use up the limit.
+        """Move the distribution one step towards the plan.
 
         Args:
-            fraction_by_region: Fractions of the split; they add up to 1.
-            selected: Region that it has selected.
+            planned: Distribution to reach; empty if there is no plan.
+            peers: Distributions that the peers of the region use.
+            lost: Fraction to move out of each region at once, because the
+                slots that served it are lost.
         """
-        self._advance()
-        for region, fraction in fraction_by_region.items():
-            self._add(region, fraction)
-        self._add(selected, -1.0)
+        mean = _distributions.mean_fractions([self.fraction_by_region, *peers])
+        # Windows before and after a pause may be adjacent.
+        wanted = planned if planned and self._new_requests else mean
+        goal = _distributions.step_towards(mean, wanted, self.max_step)
+        self.fraction_by_region = _distributions.step_towards(
+            self.fraction_by_region, goal, self.max_step
+        )
+        if lost:
+            self._leave(lost, planned)
+        self._requests_per_window += _SMOOTHING * (
+            self._new_requests * WINDOW_MS / ADJUST_INTERVAL_MS
+            - self._requests_per_window
+        )
+        self._new_requests = 0
 
-    def on_request(self, region: str) -> None:
-        """Count a request that is sent to a region.
+    def correct(self, fraction_by_region: Fractions) -> Fractions:
+        """Adapt a service's fractions to what the regions are owed.
+
+        Args:
+            fraction_by_region: Fractions that the service plans.
+
+        Returns:
+            Corrected fractions of the same regions.
+        """
+        corrected = {
+            region: fraction
+            + _CORRECTION * self._credit_by_region.get(region, 0.0)
+            for region, fraction in fraction_by_region.items()
+        }
+        return _distributions.normalize(corrected) or fraction_by_region
+
+    def allows(
+        self,
+        region: str,
+        regions: collections.abc.Set[str],
+        is_overflow: bool,
+    ) -> bool:
+        """Tell whether a request may be sent to a region.
 
         Args:
             region: Name of the region.
+            regions: All regions that may serve the request; the one that is
+                owed most is allowed in any case.
+            is_overflow: Whether the split selected another region.
         """
-        self._advance()
-        now_ms = self._clock.now_ms
-        if self._first_ms is None:
-            self._first_ms = now_ms
-        self._last_ms = now_ms
-        self._add(region, 1.0)
+        credit = self._credit_after(region)
+        limit = self._max_overflow if is_overflow else self._max_deviation
+        return credit >= -limit or all(
+            self._credit_after(other) <= credit for other in regions
+        )
 
-    def on_loss(self, fraction: float) -> None:
-        """Allow the requests of lost slots to change their region at once.
+    def on_request(self, region: str) -> None:
+        """Count a request that is sent to a region.
 
         Args:
-            fraction: Fraction of the requests that the slots served.
+            region: Name of the region.
         """
-        self._losses.append((self._clock.now_ms, fraction))
-
-    def _add(self, region: str, amount: float) -> None:
-        for counts in (self._buckets[-1], self._latest, self._recent):
-            counts[region] = counts.get(region, 0.0) + amount
+        self._new_requests += 1
+        credits = self._credit_by_region
+        for other, fraction in self.fraction_by_region.items():
+            credits[other] = credits.get(other, 0.0) + fraction
+        credits[region] = credits.get(region, 0.0) - 1.0
+        # What a region could not get for long is not made up for at once.
+        limit = self._max_deviation
+        for other, credit in credits.items():
+            credits[other] = max(-limit, min(limit, credit))
+
+    def _credit_after(self, region: str) -> float:
+        """Requests that a region is owed once it has received one more."""
+        return (
+            self._credit_by_region.get(region, 0.0)
+            + self.fraction_by_region.get(region, 0.0)
+            - 1.0
+        )
 
-    def _advance(self) -> None:
-        """Move the windows to the present."""
-        now_ms = self._clock.now_ms
-        index = now_ms // _BUCKET_MS
-        if index == self._bucket_index:
+    @property
+    def _max_deviation(self) -> float:
+        deviation = _DEVIATION * self._requests_per_window
+        return max(_MIN_DEVIATION, min(_MAX_DEVIATION, deviation))
+
+    @property
+    def _max_overflow(self) -> float:
+        deviation = _OVERFLOW_DEVIATION * self._requests_per_window
+        return max(_MIN_OVERFLOW, min(_MAX_DEVIATION, deviation))
+
+    def _leave(self, lost: Fractions, planned: Fractions) -> None:
+        """Move requests out of regions that have lost slots."""
+        fractions = dict(self.fraction_by_region)
+        freed = 0.0
+        for region, fraction in lost.items():
+            present = fractions.get(region, 0.0)
+            excess = max(0.0, present - planned.get(region, 0.0))
+            leaving = min(fraction, excess)
+            fractions[region] = present - leaving
+            freed += leaving
+        wanted = {
+            region: max(0.0, fraction - fractions.get(region, 0.0))
+            for region, fraction in planned.items()
+        }
+        total = sum(wanted.values())
+        if freed <= 0 or total <= 0:
             return
-        steps = min(index - self._bucket_index, 2 * _BUCKETS_PER_WINDOW)
-        self._bucket_index = index
-        self._buckets.extend({} for _ in range(steps))
-        buckets = list(self._buckets)
-        self._latest = _sum(buckets[-_LATEST_BUCKETS:])
-        self._recent = _sum(buckets[-_BUCKETS_PER_WINDOW:])
-        self._earlier = _sum(buckets[:_BUCKETS_PER_WINDOW])
-        if now_ms - self._last_ms >= 2 * WINDOW_MS:
-            self._first_ms = None
-
-
-def _sum(buckets: collections.abc.Iterable[Counts]) -> Counts:
-    total: Counts = {}
-    for bucket in buckets:
-        for region, count in bucket.items():
-            total[region] = total.get(region, 0.0) + count
-    return total
-
-
-def _is_within(
-    limit: float, earlier: Counts, recent: Counts, region: str
-) -> bool:
-    """Tell whether one more request to a region is within the limit."""
-    total = sum(recent.values()) + 1
-    scale = total / sum(earlier.values())
-    excess = recent.get(region, 0.0) + 1 - earlier.get(region, 0.0) * scale
-    if excess <= 0:
-        return True
-    for other, count in recent.items():
-        if other != region:
-            excess += max(0.0, count - earlier.get(other, 0.0) * scale)
-    return excess <= max(_MIN_EXCESS, limit * total)
+        for region, fraction in wanted.items():
+            fractions[region] = (
+                fractions.get(region, 0.0) + freed * fraction / total
+            )
+        self.fraction_by_region = fractions
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -21,7 +21,7 @@
 from wigeonhatch.balance import rate_budget
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
-from wigeonhatch.balance import region_split
+from wigeonhatch.balance import shift_limit
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import directory
@@ -34,6 +34,7 @@
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
+from wigeonhatch.peers import region_fractions
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import edge as edges
@@ -110,6 +111,9 @@
             lambda state: self._store_follower.on_peer_state(state),
             clock,
         )
+        self._fractions = region_fractions.RegionFractions(
+            settings.region, self._fleet.peers
+        )
         self._quarantine_store = quarantine_store.QuarantineStore(
             settings.host,
             self._store,
@@ -133,7 +137,8 @@
             self._targets,
             self._loads,
             self._ejections,
-            clock,
+            self._fractions.find_peers,
+            self._rng,
         )
         self._picker = pickers.Picker(
             self._regions,
@@ -147,6 +152,7 @@
         self._metrics.set_selection_counters(
             lambda: self._regions.count_by_selection
         )
+        self._metrics.set_largest_shift(lambda: self._regions.meter.largest)
         self._metrics.set_reach(lambda: not self._reach.is_lost)
         self._client = target_client.TargetClient(
             clock,
@@ -284,6 +290,7 @@
             config_version=0 if config is None else config.version,
             changed_by_table=follower.changed_by_table,
             reaches_targets=not self._reach.is_lost,
+            fractions_by_region=self._fractions.report,
         )
 
     async def _handle_signals(
@@ -303,24 +310,21 @@
             log.event(_LOG, 'settings unusable', reason=result.detail)
             return
         settings = result.value
-        changed = [
-            field.name
-            for field in dataclasses.fields(settings)
-            if getattr(settings, field.name)
-            != getattr(self._settings, field.name)
-        ]
+        changed = edge_settings.changed_fields(self._settings, settings)
         log.event(_LOG, 'settings read again', changed=changed)
         self._settings = dataclasses.replace(
             self._settings, bounds=settings.bounds, seeds=settings.seeds
         )
         self._fleet.add_seeds(settings.seeds)
+        self._regions.set_max_shift(settings.bounds.max_shift)
 
     async def _run_adjustments(self) -> None:
         while True:
-            await self._clock.sleep_ms(region_split.ADJUST_INTERVAL_MS)
+            await self._clock.sleep_ms(shift_limit.ADJUST_INTERVAL_MS)
             self._catalog.expire_holds()
             self._quarantine.expire()
             self._picker.adjust_splits(self._fleet.peers.region_by_host())
+            self._fractions.refresh(self._regions.fraction_by_region)
 
     def _on_config(self, config: model.RoutingConfig) -> None:
         limits = config.limits
@@ -357,10 +361,8 @@
 
     def _count_hosts(self) -> int:
         """Number of hosts that share the agreed retries."""
-        return max(
-            len(self._settings.region_by_domain),
-            len(self._fleet.roster.ip_by_host) + 1,
-        )
+        hosts = len(self._fleet.roster.ip_by_host) + 1
+        return max(len(self._settings.region_by_domain), hosts)
 
     def _find_target_region(self, name: str) -> str:
         record = self._targets.record_by_name.get(name)
--- a/wigeonhatch/entry/edge_settings.py
+++ b/wigeonhatch/entry/edge_settings.py
@@ -90,3 +90,17 @@
     limits: settings.Limits = dataclasses.field(
         default_factory=settings.Limits
     )
+
+
+def changed_fields(first: EdgeSettings, second: EdgeSettings) -> list[str]:
+    """Names of the fields in which two settings differ.
+
+    Args:
+        first: One of the settings.
+        second: The other one.
+    """
+    return [
+        field.name
+        for field in dataclasses.fields(first)
+        if getattr(first, field.name) != getattr(second, field.name)
+    ]
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -81,6 +81,9 @@
         self._read_control_counters: ReadCounters | None = None
         self._read_selections: ReadSelections | None = None
         self._read_reach: collections.abc.Callable[[], bool] | None = None
+        self._read_largest_shift: (
+            collections.abc.Callable[[], float] | None
+        ) = None
         self._window_start_ms = clock.now_ms
         self._histogram = histogram.HdrHistogram(
             1, MAX_LATENCY_US, _SIGNIFICANT_DIGITS
@@ -116,6 +119,17 @@
         """
         self._read_selections = read
 
+    def set_largest_shift(
+        self, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Set the measure of shifts between regions to read.
+
+        Args:
+            read: Returns the largest fraction of the host's requests that
+                changed their region from one window to the next.
+        """
+        self._read_largest_shift = read
+
     def set_reach(self, read: collections.abc.Callable[[], bool]) -> None:
         """Set the state of the links to targets to read at each collection.
 
@@ -195,6 +209,13 @@
             )
         if self._read_selections is not None:
             yield _selections(self._read_selections())
+        if self._read_largest_shift is not None:
+            yield core.GaugeMetricFamily(
+                'wigeonhatch_region_shift_fraction',
+                'Largest fraction of the requests that changed their region '
+                'from one window of 2 s to the next in the last minute.',
+                value=self._read_largest_shift(),
+            )
         if self._read_reach is not None:
             yield core.GaugeMetricFamily(
                 'wigeonhatch_reaches_targets',
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -28,7 +28,11 @@
 RETENTION_MS = 600_000
 """Retention of the state of a lost peer; 460 hosts are replaced each day."""
 MAX_TARGETS = 100
-"""Maximum targets per datagram, so that it fits into one packet."""
+"""Maximum targets per datagram."""
+MAX_BYTES = 1_472
+"""Size limit of a datagram that fits into one packet."""
+_BYTES_PER_TARGET = 32
+"""Upper estimate of the size of a target's name and count."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -45,6 +49,9 @@
         changed_by_table: Store version of the newest change that it has
             received, by table of the platform's store.
         reaches_targets: Whether it can open connections to targets.
+        fractions_by_region: Fractions in 1/10,000 by region of the targets,
+            which the hosts of a region use; by that region. Contains the own
+            region once it has sent requests, and regions without live hosts.
     """
 
     is_serving: bool
@@ -54,6 +61,7 @@
     config_version: int
     changed_by_table: dict[str, int]
     reaches_targets: bool = True
+    fractions_by_region: dict[str, dict[str, int]] = {}
 
 
 class HostState(msgspec.Struct, frozen=True, array_like=True):
@@ -88,6 +96,24 @@
 _DECODER = msgspec.msgpack.Decoder(HostState)
 
 
+def encode_state(state: HostState) -> bytes:
+    """Encode a state; leaves out idle targets if it exceeds one packet.
+
+    Args:
+        state: State of this host.
+    """
+    data = _ENCODER.encode(state)
+    counts = state.count_by_target
+    while len(data) > MAX_BYTES and counts:
+        excess = len(data) - MAX_BYTES
+        kept = max(0, len(counts) - 1 - excess // _BYTES_PER_TARGET)
+        counts = dict(sorted(counts.items(), key=lambda item: -item[1])[:kept])
+        data = _ENCODER.encode(
+            msgspec.structs.replace(state, count_by_target=counts)
+        )
+    return data
+
+
 class PeerTable:
     """Newest state of each peer.
 
@@ -244,7 +270,7 @@
         """
         if self._transport is None:
             return
-        data = _ENCODER.encode(state)
+        data = encode_state(state)
         for address in peers:
             self._transport.sendto(data, address)
 
