Keep the overflow of entry hosts with few requests within the cap

A host with under 100 requests in the window was charged 1/100 of the buckets for each that overflowed, whatever it had received, so that with a cap of 15% the first 15 requests of each host could all leave their region.

Such a host now needs a token, of which each request brings the cap's fraction. The first one starts at random, so that hosts that start together do not overflow together and their sum keeps the cap. The charge against moved buckets stays.

--- a/tests/steering/test_routing.py
+++ b/tests/steering/test_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import random
 
 from tests.steering import examples
 from wigeonhatch import clock as clocks
@@ -34,7 +35,7 @@
             lambda service: self.membership.load_by_host[name],
         )
         self.splits = split.SplitTable(self.clock)
-        self.spillover = spillover.Spillover(self.clock)
+        self.spillover = spillover.Spillover(self.clock, random.Random(1))
         self.router = routing.Router(
             self.candidates,
             self.splits,
--- a/wigeonhatch/entry/control_plane.py
+++ b/wigeonhatch/entry/control_plane.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import random
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import outcome
@@ -164,7 +165,9 @@
         grantor=grantor,
         departures=departures,
         split_table=split_table,
-        spillover=spillover_module.Spillover(clock),
+        spillover=spillover_module.Spillover(
+            clock, random.Random(f'{settings.host}/{clock.wall_ms}')
+        ),
         candidates=candidate_module.Candidates(
             settings.host,
             clock,
--- a/wigeonhatch/steering/spillover.py
+++ b/wigeonhatch/steering/spillover.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import math
+import random
 
 from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
@@ -15,8 +16,10 @@
 # one lookup TTL covers callers that still use older responses.
 _RETURN_DELAY_MS = model.LOOKUP_TTL_MS
 # With fewer requests in a window, one request would count as a large fraction
-# of the traffic and could never overflow to another region.
+# of the traffic. A token is needed then, so that the sum over hosts with few
+# requests stays within the cap as well.
 _MIN_REQUESTS = 100
+_MAX_TOKENS = 2.0
 
 
 class Spillover:
@@ -28,16 +31,19 @@
 
     Args:
         clock: Clock of this host.
+        rng: Source of randomness.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, rng: random.Random) -> None:
         self.generation = 0
         self._clock = clock
+        self._rng = rng
         self._limit_by_service: dict[str, limiter.ShiftLimiter] = {}
         self._region_by_bucket: dict[str, dict[int, str]] = {}
         self._free_since_ms: dict[tuple[str, str], int] = {}
         self._traffic_by_service: dict[str, traffic.TrafficWindow] = {}
         self._balance_by_service: dict[str, float] = {}
+        self._token_by_service: dict[str, float] = {}
 
     @property
     def violations(self) -> int:
@@ -110,8 +116,16 @@
             service: Name of the service.
         """
         window = self._traffic_by_service.get(service)
-        if window is not None:
-            window.add()
+        if window is None:
+            return
+        window.add()
+        limit = self._limit_by_service[service]
+        # A random start keeps hosts that start together from overflowing
+        # together.
+        token = self._token_by_service.get(service, self._rng.random())
+        self._token_by_service[service] = min(
+            _MAX_TOKENS, token + limit.max_moves / buckets.BUCKET_COUNT
+        )
 
     def allow_overflow(self, service: str) -> bool:
         """Allow one request to overflow to another region, within the cap.
@@ -130,12 +144,16 @@
         if limit is None:
             return False
         requests = self._traffic_by_service[service].count
+        token = self._token_by_service.get(service, 0.0)
+        if requests < _MIN_REQUESTS and token < 1:
+            return False
         cost = buckets.BUCKET_COUNT / max(_MIN_REQUESTS, requests)
         due = self._balance_by_service.get(service, 0.0) + cost
         charge = math.ceil(due)
         if limit.available < charge or limit.acquire(charge) < charge:
             return False
         self._balance_by_service[service] = due - charge
+        self._token_by_service[service] = max(0.0, token - 1)
         return True
 
     def is_cap_exhausted(self, service: str) -> bool:
