Separate the estimate of the demand from the selection of regions

The share of refused requests is called demand ratio. The benchmark of steering passes the source of randomness that the overflow of entry hosts now takes.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -123,7 +123,7 @@
         'host-0000', clock, _Membership(), lambda service: own_load
     )
     splits = split.SplitTable(clock)
-    spill = spillover.Spillover(clock)
+    spill = spillover.Spillover(clock, random.Random(1))
     router = routing.Router(
         pools, splits, spill, lambda region, bulk: True, seed=1
     )
--- a/tests/balance/test_region_split.py
+++ b/tests/balance/test_region_split.py
@@ -74,15 +74,6 @@
     )
 
 
-def test_before_any_request_all_regions_are_assumed_to_be_alike() -> None:
-    """Guards against a first plan that depends on single requests."""
-    assert region_split.assume_loads({'a': 10, 'b': 50}, ['a', 'b', 'c']) == {
-        'a': 20.0,
-        'b': 20.0,
-        'c': 20.0,
-    }
-
-
 @pytest.mark.parametrize('keys', [1, 5, 40])
 def test_selection_follows_fractions_over_short_times(keys: int) -> None:
     """Guards against affinity keys that push a region above its fraction."""
--- a/tests/balance/test_request_mix.py
+++ b/tests/balance/test_request_mix.py
@@ -30,13 +30,13 @@
     assert mix.fractions() == {}
 
 
-@pytest.mark.parametrize(('sent', 'excess'), [(4, 1.0), (3, 4 / 3), (1, 2.0)])
-def test_refused_requests_are_excess(sent: int, excess: float) -> None:
+@pytest.mark.parametrize(('sent', 'ratio'), [(4, 1.0), (3, 4 / 3), (1, 2.0)])
+def test_refused_requests_raise_the_demand(sent: int, ratio: float) -> None:
     """Guards against demand that is not seen because it is refused."""
     mix = _request_mix.RequestMix()
     for number in range(100):
         mix.on_request('a', ALL)
         if number % 4 < sent:
             mix.on_sent('a')
-    assert mix.excess('a') == pytest.approx(excess)
-    assert mix.excess('b') == 1.0
+    assert mix.demand_ratio('a') == pytest.approx(ratio)
+    assert mix.demand_ratio('b') == 1.0
--- a/wigeonhatch/balance/_request_mix.py
+++ b/wigeonhatch/balance/_request_mix.py
@@ -10,7 +10,7 @@
 _DECAY = 0.85
 """Decay in each step of the fractions; half after about 2 s."""
 _MIN_COUNT = 0.01
-_MAX_EXCESS = 2.0
+_MAX_DEMAND_RATIO = 2.0
 """Largest ratio of all requests to those that are sent. Refused callers that
 return are counted again."""
 
@@ -41,7 +41,7 @@
         sent = self._sent_by_service
         sent[service] = sent.get(service, 0.0) + 1.0
 
-    def excess(self, service: str) -> float:
+    def demand_ratio(self, service: str) -> float:
         """Ratio of all requests to those that are sent; 1 if none is refused.
 
         Args:
@@ -53,7 +53,7 @@
             if name == service
         )
         sent = max(1.0, self._sent_by_service.get(service, 0.0))
-        return max(1.0, min(_MAX_EXCESS, count / sent))
+        return max(1.0, min(_MAX_DEMAND_RATIO, count / sent))
 
     def fractions(self) -> dict[Key, float]:
         """Fraction of the requests by key; empty if there are none."""
--- a/wigeonhatch/balance/region_selector.py
+++ b/wigeonhatch/balance/region_selector.py
@@ -13,13 +13,12 @@
 from wigeonhatch.balance import _request_mix
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import region_demand
 from wigeonhatch.balance import region_split
 from wigeonhatch.balance import shift_limit
 from wigeonhatch.balance import shift_meter
 from wigeonhatch.targets import registry
 
-_SMOOTHING = 0.3
-"""Smoothing factor of the load; the average covers about the last 1.5 s."""
 _LOG = logging.getLogger(__name__)
 
 _ALL_REGIONS: frozenset[str] = frozenset()
@@ -71,7 +70,7 @@
         self.meter = shift_meter.ShiftMeter()
         self._limit = shift_limit.ShiftLimit(max_shift, rng)
         self._split_by_service: dict[str, region_split.RegionSplit] = {}
-        self._load_by_service: dict[str, dict[str, float]] = {}
+        self._demand = region_demand.RegionDemand(region_by_domain.values())
         self._slots_by_service: dict[str, dict[str, int]] = {}
         self._moves: dict[str, _move_detector.MoveDetector] = (
             collections.defaultdict(_move_detector.MoveDetector)
@@ -82,7 +81,7 @@
         """Discard the splits of all services except the given ones."""
         for name in self._split_by_service.keys() - services:
             del self._split_by_service[name]
-            self._load_by_service.pop(name, None)
+            self._demand.remove(name)
             self._slots_by_service.pop(name, None)
             self._moves.pop(name, None)
 
@@ -176,7 +175,7 @@
         """
         in_progress = self._count_in_progress(region_by_host)
         lost_by_service = {
-            service: self._adjust_split(service, in_progress)
+            service: self._adjust_split(service, in_progress.get(service, {}))
             for service in services
         }
         if not self._limit.fraction_by_region:
@@ -204,34 +203,16 @@
     def _adjust_split(
         self,
         service: str,
-        in_progress: collections.abc.Mapping[tuple[str, str], int],
+        count_by_region: collections.abc.Mapping[str, int],
     ) -> shift_limit.Fractions:
         """Move the split of a service; return what has to leave regions."""
         slots = self._slots_by_service[service] = self._count_slots(service)
-        regions = dict.fromkeys(self._region_by_domain.values())
-        counts = {
-            region: in_progress.get((service, region), 0) for region in regions
-        }
-        load = self._load_by_service.get(service, {})
-        if not self._limit.fraction_by_region or not load:
-            assumed = region_split.assume_loads(slots, regions)
-            # A few requests that have just arrived tell little of the demand.
-            load = {
-                region: max(counts[region], assumed[region])
-                for region in regions
-            }
-        elif any(counts.values()):
-            load = {
-                region: load[region] + _SMOOTHING * (count - load[region])
-                for region, count in counts.items()
-            }
-        self._load_by_service[service] = load
+        has_started = bool(self._limit.fraction_by_region)
+        estimate = self._demand.update if has_started else self._demand.start
+        load = estimate(service, count_by_region, sum(slots.values()))
         # Refused requests of the own region are demand as well.
-        demand = {
-            **load,
-            self._own_region: load[self._own_region]
-            * self._mix.excess(service),
-        }
+        demand = dict(load)
+        demand[self._own_region] *= self._mix.demand_ratio(service)
         split = self._split(service)
         lost = split.adjust(
             {
@@ -309,16 +290,18 @@
 
     def _count_in_progress(
         self, region_by_host: collections.abc.Mapping[str, str]
-    ) -> dict[tuple[str, str], int]:
+    ) -> dict[str, collections.Counter[str]]:
         """Count requests by their service and the region of their callers."""
-        in_progress: dict[tuple[str, str], int] = {}
+        in_progress: dict[str, collections.Counter[str]] = {}
         for host, counts in self._loads.counts_by_host(''):
             region = region_by_host.get(host, self._own_region)
             for target, count in counts.items():
                 record = self._targets.record_by_name.get(target)
                 if record is not None:
-                    key = (record.service, region)
-                    in_progress[key] = in_progress.get(key, 0) + count
+                    by_region = in_progress.setdefault(
+                        record.service, collections.Counter()
+                    )
+                    by_region[region] += count
         return in_progress
 
 
--- a/wigeonhatch/balance/region_split.py
+++ b/wigeonhatch/balance/region_split.py
@@ -42,23 +42,6 @@
     slots: int
 
 
-def assume_loads(
-    slots_by_region: collections.abc.Mapping[str, int],
-    regions: collections.abc.Collection[str],
-) -> dict[str, float]:
-    """Assume the loads before any request: equal demand that fills all slots.
-
-    Args:
-        slots_by_region: Slots of the usable targets by region.
-        regions: All regions.
-
-    Returns:
-        Requests in progress by region of the callers.
-    """
-    total = sum(slots_by_region.values())
-    return {region: total / len(regions) for region in regions}
-
-
 def plan_fractions(
     own: str,
     load_by_region: collections.abc.Mapping[str, RegionLoad],
