Visit all hosts that lookups name at the end of the soak

The soak checks that each host gets requests after recovery. One request is now sent to each address that the lookups of a region name: a host that lookups omit is found for certain, and each visited host has to serve.

--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -233,6 +233,39 @@
         await asyncio.sleep(rng.randint(1, DEADLY_PAUSE_MS) / 1_000)
 
 
+async def visit_named_hosts(fleet: fleets.Fleet) -> None:
+    """Send one request to each host that the lookups of its region name.
+
+    With many hosts, a few callers that choose at random miss some of them.
+    """
+    port = fleet.port('lookup')
+    for region in sorted(set(fleets.REGION_BY_DOMAIN.values())):
+        for host in fleet.hosts:
+            if host.region != region:
+                continue
+            content = await _get(
+                host.address(port), f'/resolve?name=x&region={region}&zone=v'
+            )
+            if content is not None:
+                break
+        else:
+            continue
+        await asyncio.gather(
+            *(
+                _visit(fleet, address, f'v-{region}-{number}')
+                for number, address in enumerate(
+                    json.loads(content)['addresses']
+                )
+            )
+        )
+
+
+async def _visit(fleet: fleets.Fleet, address: str, request_id: str) -> None:
+    connection = _connect(address)
+    await send(fleet, connection, request_id, 'read', '/read/visit')
+    await connection.aclose()
+
+
 async def probe_configuration(fleet: fleets.Fleet, host: fleets.Host) -> None:
     """Probe a host for the newest and for removed routes until cancelled."""
     rng = random.Random(f'probe {host.name}')
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -153,7 +153,11 @@
             for host in fleet.hosts:
                 events.kill(fleet, host)
         recovery_end_ms = fleet.clock.now_ms + bounds.RECOVERY_MS
-        await asyncio.sleep(bounds.RECOVERY_MS / 1_000 + _RECOVERY_CHECK_S)
+        await asyncio.sleep(bounds.RECOVERY_MS / 1_000)
+        await asyncio.gather(
+            asyncio.sleep(_RECOVERY_CHECK_S),
+            callers.visit_named_hosts(fleet),
+        )
         for task in tasks:
             if task.done() and not task.cancelled():
                 task.result()
