Show that an unreadable target entry ends all daemons

Cause: decoding JSON that is nested deeper than the interpreter's recursion limit raises RecursionError, which the decoder of target entries does not convert and nothing above it catches.

No product code changes.

--- /dev/null
+++ b/review/standins/main.py
@@ -0,0 +1,29 @@
+"""Start of a case: exit status 2 if it cannot run."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import sys
+
+from review.standins import scene as scenes
+
+_CANNOT_RUN = 2
+
+
+def run(
+    case: collections.abc.Callable[
+        [], collections.abc.Coroutine[None, None, int]
+    ],
+) -> None:
+    """Run a case and exit with its status.
+
+    Args:
+        case: Runs the case; returns 1 if the rule was broken, else 0.
+    """
+    try:
+        status = asyncio.run(case())
+    except (scenes.CannotRun, OSError) as error:
+        print(f'cannot run: {error!r}', file=sys.stderr)
+        status = _CANNOT_RUN
+    sys.exit(status)
