Show that a target entry with a name for an address ends all daemons

Cause: the decoder of target entries accepts any address with a colon; the connection pool parses it and raises ValueError, which nothing catches.

Change: a review case with its script. No product code changes.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,25 @@
+"""An entry of another writer holds a name where an address is due."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+from review.standins import foreign_entry
+from review.standins import main
+from review.standins import scene as scenes
+
+
+def _build_entry(scene: scenes.Scene) -> bytes:
+    entry = scene.instances[0].describe()
+    entry['address'] = 'board-7.rota.example:8080'
+    return json.dumps(entry).encode()
+
+
+async def _run() -> int:
+    folder = pathlib.Path(__file__).parent
+    return await foreign_entry.run(folder, _build_entry)
+
+
+if __name__ == '__main__':
+    main.run(_run)
