End the review's scripts with 2 when they fail themselves

Cause: an error in a script ended it with 1, which stands for a broken rule.

Change: any exception of a script gives exit status 2.

--- a/review/standins/main.py
+++ b/review/standins/main.py
@@ -6,8 +6,6 @@
 import collections.abc
 import sys
 
-from review.standins import scene as scenes
-
 _CANNOT_RUN = 2
 
 
@@ -23,7 +21,8 @@
     """
     try:
         status = asyncio.run(case())
-    except (scenes.CannotRun, OSError) as error:
+    except Exception as error:
+        # An error of the script itself must not look like a broken rule.
         print(f'cannot run: {error!r}', file=sys.stderr)
         status = _CANNOT_RUN
     sys.exit(status)
