Use a loopback address in the review's case of an unusable address

Cause: the entry held a host name; addresses in a case are to be loopback.

Change: the entry holds 127.0.0.1:http, with the same effect.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An entry of another writer holds a name where an address is due."""
+"""An entry of another writer holds a name where a port number is due."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 def _build_entry(scene: scenes.Scene) -> bytes:
     entry = scene.instances[0].describe()
-    entry['address'] = 'board-7.rota.example:8080'
+    entry['address'] = '127.0.0.1:http'
     return json.dumps(entry).encode()
 
 
