Let the review's clients follow lookups and send uploads of usual lengths

Stand-ins draw the time of work and take the time of sending before the connection. The case of an outage is adapted to them: one in three targets leaves without a report, and lateness counts from the sending.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,12 @@
-"""A machine is stopped while requests keep coming that take 2.9 s."""
+"""A machine is stopped while uploads keep coming, some of them long."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import pathlib
+import random
 
 from review.standins import client
 from review.standins import main
@@ -17,21 +19,34 @@
     'south-a': 'south',
 }
 SERVICE = 'field-album'
-WORK_S = 2.9
-"""Time that a request takes; up to 3.12 s for `row-photo` of `caroni-rota`."""
+WORK_S = (0.42, 0.42, 0.42, 2.9)
+"""Times that requests take: 1.04 s on average, as `row-photo` of `caroni-rota`,
+which takes 3.12 s at most."""
 DEADLINE_S = 5.0
 """Time limit of the clients of `row-photo`, and timeout of the route."""
 BODY_BYTES = 60_000
 CALM_S = 5.0
 """Time without any disruption before the stop; `contact` is 4 s."""
-ROLLS = 3
+ROLLS = 6
 SECONDS_PER_ROLL = 12.0
-PAUSE_S = 0.025
+CLIENTS = 60
+PAUSE_S = 0.01
+TTL_S = 2.0
+PATIENT = 3
+"""One client in this many keeps a lookup for three times its TTL."""
 EXCUSED_SENT_S = 3.0
 """Requests that were sent up to this time after SIGTERM are excused if their
 instance is still at work in the last sixth of `grace`."""
 
 
+@dataclasses.dataclass
+class Lookup:
+    """What a client keeps of its last lookup."""
+
+    addresses: list[str] = dataclasses.field(default_factory=list)
+    expires_s: float = 0.0
+
+
 async def _run() -> int:
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     folder = pathlib.Path(__file__).parent
@@ -50,23 +65,42 @@
     tasks: set[asyncio.Task[None]] = set()
     stops_s: list[float] = []
 
-    async def call(request_id: str) -> None:
-        outcomes.append(
-            await client.send(
-                scene,
-                f'{stopped.ip}:{scene.port("front")}',
-                request_id,
-                'POST',
-                f'/{SERVICE}/{request_id}',
-                DEADLINE_S,
-                b'x' * BODY_BYTES,
-            )
+    lookups = [Lookup() for _ in range(CLIENTS)]
+    rng = random.Random(3)
+
+    async def call(number: int, request_id: str) -> None:
+        """Send a request of a client to an address of its last lookup."""
+        lookup = lookups[number]
+        if scene.now_s >= lookup.expires_s or not lookup.addresses:
+            for host in scene.hosts[:3]:
+                found = await scene.resolve(host, 'north', 'north-a')
+                if found:
+                    kept = TTL_S * (1 if number % PATIENT else 3)
+                    lookup.addresses = found
+                    lookup.expires_s = scene.now_s + kept
+                    break
+        if not lookup.addresses:
+            return
+        address = rng.choice(lookup.addresses)
+        outcome = await client.send(
+            scene,
+            address,
+            request_id,
+            'POST',
+            f'/{SERVICE}/{request_id}',
+            DEADLINE_S,
+            b'x' * BODY_BYTES,
         )
+        if not outcome.status and address in lookup.addresses:
+            lookup.addresses.remove(address)
+        if address.startswith(f'{stopped.ip}:'):
+            outcomes.append(outcome)
 
     async def call_steadily() -> None:
-        """Act for clients that keep a lookup for three times its TTL of 2 s."""
         for count in range(1_000_000):
-            task = asyncio.create_task(call(f'c{count:06x}'))
+            task = asyncio.create_task(
+                call(rng.randrange(CLIENTS), f'c{count:06x}')
+            )
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             await asyncio.sleep(PAUSE_S)
@@ -77,8 +111,8 @@
         await asyncio.sleep(CALM_S)
         for _ in range(ROLLS):
             if has_trouble:
-                stops_s.append(scene.now_s)
                 scene.terminate(stopped)
+                stops_s.append(scene.now_s)
             await asyncio.sleep(SECONDS_PER_ROLL)
         caller.cancel()
         await asyncio.sleep(DEADLINE_S)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,7 +18,7 @@
 INSTANCES = 30
 """Instances of each service, all in the region `north`."""
 SLOTS = 6
-WORK_S = 0.04
+WORK_S = (0.04,)
 DOWN_AFTER_S = 25.0
 DOWN_S = 8.0
 """Length of the outage; `platform_down` lasts 8 s at most on this site."""
@@ -28,6 +28,8 @@
 LEAVING = 2
 """Instances of each service that leave at once; the site takes away up to a
 quarter at once (`scale_in`)."""
+SILENT = 3
+"""One in this many leaves without a report."""
 DRAIN_S = 2.5
 """Bound `drain`."""
 SERVES_ON_S = 6.0
@@ -76,14 +78,19 @@
     def leave() -> None:
         """Take away some instances of each service.
 
-        None of them reports that it drains: its entry is removed.
+        One in three does not report that it drains: its entry is removed.
         """
         for service in SERVICES:
             for _ in range(LEAVING):
                 item = waiting[service].pop(0)
-                scene.store.remove('servers', item.name)
+                if len(left_s) % SILENT:
+                    entry = item.describe()
+                    entry['status']['state'] = 'draining'
+                    scene.store.put('servers', item.name, entry)
+                else:
+                    scene.store.remove('servers', item.name)
                 left_s[item.name] = scene.now_s
-                scene.note(f'{item.name} leaves: its entry is removed')
+                scene.note(f'{item.name} leaves')
                 closing.append(
                     asyncio.get_running_loop().call_later(
                         SERVES_ON_S, item.close
@@ -119,18 +126,21 @@
     late_count = 0
     outcomes = {'answered': 0, 'unanswered': 0}
     for request_id, events in scene.events_by_id.items():
-        address = next((x for _, word, x in events if word == 'sent'), '')
-        for at_s, word, detail in events:
+        # A request reaches its instance after the client has sent it.
+        sent_s, address = next(
+            ((at, x) for at, word, x in events if word == 'sent'), (0.0, '')
+        )
+        for _, word, detail in events:
             if word in outcomes:
                 outcomes[word] += 1
             if word not in ('runs', 'not run') or detail not in left_s:
                 continue
-            after_s = at_s - left_s[detail]
+            after_s = sent_s - left_s[detail]
             if after_s > DRAIN_S:
                 late_count += 1
                 scene.note(
-                    f'LATE {request_id} by {address} reaches {detail}'
-                    f' {after_s:.3f} s after its removal was acknowledged'
+                    f'LATE {request_id} by {address} to {detail}, sent'
+                    f' {after_s:.3f} s after it had left'
                 )
     scene.note(f'{outcomes}')
     scene.note(
--- a/review/standins/foreign_entry.py
+++ b/review/standins/foreign_entry.py
@@ -40,7 +40,9 @@
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     scene = scenes.Scene(folder, REGION_BY_ZONE, list(REGION_BY_ZONE))
-    scene.add_service(SERVICE, 'idempotent', list(REGION_BY_ZONE) * 2, 6, 0.1)
+    scene.add_service(
+        SERVICE, 'idempotent', list(REGION_BY_ZONE) * 2, 6, (0.1,)
+    )
     outcomes: list[client.Outcome] = []
     try:
         await scene.start()
