Report all unreadable input of other processes with one error

Cause: msgspec raises RecursionError for input that is nested deeper than the interpreter's limit, also within a field that the type does not have. Each decoder caught the errors that it expected, and none caught this one, so that it left the table's follower and ended the task group of the daemon. The configurations that peers and the platform's objects hold were decoded without catching any error.

Change: decoding.py decodes what another process has written and raises DecodeError alone; all decoders use it, in edge and in entry.

Ruled out: the size of the row, as an entry of that size without nesting is passed over.

--- a/tests/end_to_end/edge_deployment.py
+++ b/tests/end_to_end/edge_deployment.py
@@ -202,11 +202,15 @@
 
     async def put(self, table: str, key: str, value: object) -> None:
         """Write a row to the store."""
+        await self.put_bytes(table, key, json.dumps(value).encode())
+
+    async def put_bytes(self, table: str, key: str, content: bytes) -> None:
+        """Write a row that may be unreadable to the store."""
         row = {
             'table': table,
             'part': '',
             'key': key,
-            'value': base64.b64encode(json.dumps(value).encode()).decode(),
+            'value': base64.b64encode(content).decode(),
         }
         body = {'precondition': [], 'writes': [row], 'remove': []}
         status, _ = await self.call(
--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -55,6 +55,40 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+async def _serve_beside(
+    deployment: deployments.Deployment, content: bytes
+) -> None:
+    """Check that a row of another writer changes nothing, also at a start."""
+    edge = await deployment.start()
+    await deployment.put_bytes('servers', 'foreign', content)
+    await anyio.sleep(1)
+    assert edge.poll() is None
+    edge.kill()
+    edge.wait()
+    edge = deployment.spawn_edge()
+    await deployment.wait_for(deployment.ready_port, '/readiness', 200)
+    for number in range(4):
+        status, _ = await deployment.call(
+            deployment.port, '/r/a', f'r{number}'
+        )
+        assert status == 200
+    assert edge.poll() is None
+
+
+@pytest.mark.parametrize(
+    'content', [b'{"x":' + b'[' * 4_000 + b']' * 4_000 + b'}', b'\xff']
+)
+def test_unreadable_row_ends_no_daemon(
+    tmp_path: pathlib.Path, content: bytes
+) -> None:
+    """Guards against one row in the list of targets that ends all daemons."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        await _serve_beside(deployment, content)
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_outage_of_the_store_changes_nothing(tmp_path: pathlib.Path) -> None:
     """Guards against requests that fail while the store is down."""
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from wigeonhatch import decoding
 from wigeonhatch.platform import decode
 from wigeonhatch.routes import model
 
@@ -83,7 +84,7 @@
         'services': {'s': SERVICE},
         'limits': {},
     }
-    with pytest.raises(decode.DecodeError):
+    with pytest.raises(decoding.DecodeError):
         decode.read_config(encode(document | change))
 
 
@@ -103,6 +104,7 @@
         b'',
         b'\xff\xfe',
         b'[]',
+        b'{"x":' + b'[' * 4_000 + b']' * 4_000 + b'}',
         encode(TARGET | {'address': None}),
         encode(TARGET | {'address': 'nowhere'}),
         encode(TARGET | {'born': '17'}),
@@ -118,7 +120,7 @@
 )
 def test_malformed_target_is_rejected(content: bytes) -> None:
     """Guards against rows of other programs that crash the daemon."""
-    with pytest.raises(decode.DecodeError):
+    with pytest.raises(decoding.DecodeError):
         decode.read_target('t1', content)
 
 
--- a/wigeonhatch/blocks/block_diff.py
+++ b/wigeonhatch/blocks/block_diff.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.blocks import _encoding
 
@@ -72,7 +73,7 @@
     if not _encoding.has_digest(data, xxhash.xxh3_128_digest(content)):
         return _encoding.invalid(_encoding.DIGEST_MISMATCH)
     try:
-        diff = msgspec.msgpack.decode(zlib.decompress(content), type=BlockDiff)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        diff = decoding.decode_msgpack(zlib.decompress(content), BlockDiff)
+    except (zlib.error, decoding.DecodeError) as error:
         return _encoding.invalid(str(error))
     return outcome.Success(diff)
--- a/wigeonhatch/blocks/block_map.py
+++ b/wigeonhatch/blocks/block_map.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.blocks import _encoding
 from wigeonhatch.blocks import _flat_table
@@ -275,8 +276,8 @@
     if not _encoding.has_digest(data, hasher.digest()):
         return _encoding.invalid(_encoding.DIGEST_MISMATCH)
     try:
-        document = msgspec.msgpack.decode(content, type=_Document)
-    except msgspec.MsgspecError as error:
+        document = decoding.decode_msgpack(content, _Document)
+    except decoding.DecodeError as error:
         return _encoding.invalid(str(error))
     loaded = BlockMap(document.version)
     for site in document.sites:
--- a/wigeonhatch/budget/_rows.py
+++ b/wigeonhatch/budget/_rows.py
@@ -8,8 +8,8 @@
 import typing
 
 import anyio
-import msgspec
 
+from wigeonhatch import decoding
 from wigeonhatch.platform import interface
 
 LEASE_MS = 2_000
@@ -77,8 +77,8 @@
     if row is None:
         return None
     try:
-        return msgspec.json.decode(row.value, type=kind)
-    except msgspec.MsgspecError:
+        return decoding.decode_json(row.value, kind)
+    except decoding.DecodeError:
         return None
 
 
--- a/wigeonhatch/cli/client.py
+++ b/wigeonhatch/cli/client.py
@@ -12,6 +12,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.cli import access as accesses
@@ -202,7 +203,7 @@
     content: bytes, result_type: type[_ValueT]
 ) -> outcome.Success[_ValueT] | outcome.Failure:
     try:
-        reply = msgspec.json.decode(content, type=wire.Reply)
+        reply = decoding.decode_json(content, wire.Reply)
         code = codes.ResultCode(reply.code)
         if code is codes.ResultCode.OK:
             return outcome.Success(msgspec.convert(reply.value, result_type))
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -6,6 +6,7 @@
 import logging
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch.entry import restore_hold
 from wigeonhatch.platform import decode
@@ -196,7 +197,7 @@
     def _apply_config(self, row: stores.StoredRow) -> None:
         try:
             config = decode.read_config(row.value)
-        except decode.DecodeError as error:
+        except decoding.DecodeError as error:
             _LOG.error(
                 'configuration unusable',
                 extra={
@@ -226,7 +227,7 @@
         for row in rows:
             try:
                 yield decode.read_target(row.key, row.value)
-            except decode.DecodeError as error:
+            except decoding.DecodeError as error:
                 log.event(
                     _LOG,
                     'target entry unusable',
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -7,6 +7,7 @@
 import random
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch import settings as settings_module
 from wigeonhatch.balance import loads
@@ -207,7 +208,7 @@
         for row in batch.rows:
             try:
                 self.roster.put_entry(row.key, row.value)
-            except ValueError as error:
+            except decoding.DecodeError as error:
                 log.event(
                     _LOG, 'host entry unusable', host=row.key, reason=error
                 )
--- a/wigeonhatch/entry/quarantine_store.py
+++ b/wigeonhatch/entry/quarantine_store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
@@ -103,10 +104,10 @@
             return
         for row in batch.rows:
             try:
-                statement = msgspec.msgpack.decode(
-                    row.value, type=quarantines.CrashStatement
+                statement = decoding.decode_msgpack(
+                    row.value, quarantines.CrashStatement
                 )
-            except msgspec.DecodeError as error:
+            except decoding.DecodeError as error:
                 log.event(
                     _LOG, 'quarantine row unusable', key=row.key, reason=error
                 )
--- a/wigeonhatch/operators/application.py
+++ b/wigeonhatch/operators/application.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.config import names
 from wigeonhatch.operators import service as services
@@ -229,8 +230,8 @@
 
 def _decode(body: bytes, body_type: type[_BodyT]) -> _BodyT | outcome.Failure:
     try:
-        parsed = msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, ValueError) as error:
+        parsed = decoding.decode_json(body, body_type)
+    except decoding.DecodeError as error:
         return _bad_request(f'body: {error}')
     if not _CHANGE_ID.fullmatch(parsed.change_id):
         return _bad_request('change_id: 8 to 64 letters and digits')
--- a/wigeonhatch/operators/records.py
+++ b/wigeonhatch/operators/records.py
@@ -5,8 +5,7 @@
 import dataclasses
 import typing
 
-import msgspec
-
+from wigeonhatch import decoding
 from wigeonhatch.config import diff
 from wigeonhatch.platform import interface
 
@@ -128,6 +127,6 @@
     if row is None:
         return None
     try:
-        return msgspec.json.decode(row.value, type=record_type)
-    except msgspec.DecodeError:
+        return decoding.decode_json(row.value, record_type)
+    except decoding.DecodeError:
         return None
--- a/wigeonhatch/peers/config_store.py
+++ b/wigeonhatch/peers/config_store.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch import settings
 from wigeonhatch.config import delta as deltas
@@ -149,7 +150,10 @@
                 f'diff is for version {update.base_version}; '
                 f'version {self.version} is in force',
             )
-        delta = msgspec.json.decode(update.diff)
+        try:
+            delta = decoding.decode_json(update.diff, deltas.Document)
+        except decoding.DecodeError as error:
+            return _malformed(update, error)
         document = deltas.apply_delta(current.document, delta)
         if deltas.hash_document(document) != update.hash:
             return outcome.Failure(
@@ -214,7 +218,10 @@
     def _accept_document(
         self, update: peers_pb2.ConfigUpdate
     ) -> outcome.Success[bool] | outcome.Failure:
-        document = msgspec.json.decode(update.document)
+        try:
+            document = decoding.decode_json(update.document, deltas.Document)
+        except decoding.DecodeError as error:
+            return _malformed(update, error)
         return self.offer_document(update.version, update.change_id, document)
 
     def _validate_change(
@@ -307,3 +314,11 @@
         else:
             combined[key] = value
     return combined
+
+
+def _malformed(
+    update: peers_pb2.ConfigUpdate, error: decoding.DecodeError
+) -> outcome.Failure:
+    return outcome.Failure(
+        codes.ResultCode.CONFIG_INVALID, f'version {update.version}: {error}'
+    )
--- a/wigeonhatch/peers/platform_source.py
+++ b/wigeonhatch/peers/platform_source.py
@@ -6,9 +6,8 @@
 import dataclasses
 import logging
 
-import msgspec
-
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.config import delta as deltas
 from wigeonhatch.config import head as heads
@@ -115,10 +114,14 @@
                 codes.ResultCode.CONFIG_INVALID,
                 f'object {name} differs from the digest of the head',
             )
-        return outcome.Success(
-            StoredDocument(
-                head.version, head.change_id, msgspec.json.decode(content)
+        try:
+            document = decoding.decode_json(content, deltas.Document)
+        except decoding.DecodeError as error:
+            return outcome.Failure(
+                codes.ResultCode.CONFIG_INVALID, f'object {name}: {error}'
             )
+        return outcome.Success(
+            StoredDocument(head.version, head.change_id, document)
         )
 
     async def read_splits(self) -> bool:
@@ -159,9 +162,9 @@
         return outcome.Success(None)
     try:
         return outcome.Success(
-            msgspec.json.decode(row.value, type=heads.ConfigHead)
+            decoding.decode_json(row.value, heads.ConfigHead)
         )
-    except msgspec.MsgspecError as error:
+    except decoding.DecodeError as error:
         return outcome.Failure(
             codes.ResultCode.CONFIG_INVALID, f'row {heads.HEAD_KEY}: {error}'
         )
--- a/wigeonhatch/peers/roster.py
+++ b/wigeonhatch/peers/roster.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from wigeonhatch import decoding
+
 
 class HostEntry(msgspec.Struct, frozen=True):
     """Content of the row of one host in the store.
@@ -38,14 +40,11 @@
             content: Encoded row.
 
         Raises:
-            ValueError: The row is malformed.
+            DecodeError: The row is malformed.
         """
         if host == self._own_host:
             return
-        try:
-            entry = msgspec.json.decode(content, type=HostEntry)
-        except msgspec.DecodeError as error:
-            raise ValueError(str(error)) from error
+        entry = decoding.decode_json(content, HostEntry)
         self.ip_by_host[host] = entry.ip
 
     def set_ip(self, host: str, ip: str) -> None:
--- a/wigeonhatch/peers/row_share.py
+++ b/wigeonhatch/peers/row_share.py
@@ -14,6 +14,7 @@
 import httpcore
 import msgspec
 
+from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch.platform import store as stores
 
@@ -41,8 +42,6 @@
     grace_left_ms: int
 
 
-_DECODER = msgspec.msgpack.Decoder(SharedRows)
-
 ReadRows = collections.abc.Callable[[str, int], SharedRows | None]
 """Returns the rows of a table that changed after a store version; None if the
 host has not read the table."""
@@ -90,13 +89,13 @@
                 extensions={'timeout': timeouts},
             )
         if response.status == 200:
-            return _DECODER.decode(response.content)
+            return decoding.decode_msgpack(response.content, SharedRows)
         reason = f'HTTP status {response.status}'
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
-        msgspec.DecodeError,
+        decoding.DecodeError,
     ) as error:
         reason = type(error).__name__
     log.event(_LOG, 'row fetch failed', peer=ip, table=table, reason=reason)
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.requests import quarantine
@@ -93,7 +94,6 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(HostState)
 
 
 def encode_state(state: HostState) -> bytes:
@@ -241,8 +241,8 @@
     ) -> None:
         """Decode the state of a peer; log and count malformed datagrams."""
         try:
-            state = _DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            state = decoding.decode_msgpack(data, HostState)
+        except decoding.DecodeError as error:
             self.malformed_count += 1
             log.event(
                 _LOG,
--- a/wigeonhatch/platform/_reply.py
+++ b/wigeonhatch/platform/_reply.py
@@ -7,8 +7,8 @@
 import typing
 
 import httpcore
-import msgspec
 
+from wigeonhatch import decoding
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
 
@@ -72,6 +72,6 @@
     if reply.status != 200:
         return interface.Unavailable(f'HTTP status {reply.status}')
     try:
-        return msgspec.json.decode(reply.body, type=body_type)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(reply.body, body_type)
+    except decoding.DecodeError as error:
         return interface.Unavailable(f'malformed answer: {error}')
--- a/wigeonhatch/platform/decode.py
+++ b/wigeonhatch/platform/decode.py
@@ -10,8 +10,7 @@
 import re
 import typing
 
-import msgspec
-
+from wigeonhatch import decoding
 from wigeonhatch import durations
 from wigeonhatch.platform import names
 from wigeonhatch.routes import model
@@ -21,10 +20,6 @@
 _READY_BY_STATE = {'ready': True, 'draining': False}
 
 
-class DecodeError(ValueError):
-    """A row of the store does not match the expected schema."""
-
-
 def read_config(content: bytes) -> model.RoutingConfig:
     """Decode a routing configuration.
 
@@ -34,11 +29,13 @@
     Raises:
         DecodeError: The configuration does not match the schema.
     """
-    document = _read_object(content)
+    document = decoding.decode_json(content, dict[str, typing.Any])
     try:
         match = _VERSION.fullmatch(document['version'])
         if match is None:
-            raise DecodeError(f'{document["version"]!r:.40} is not a version')
+            raise decoding.DecodeError(
+                f'{document["version"]!r:.40} is not a version'
+            )
         return model.RoutingConfig(
             version=int(match[1]),
             route_by_name={
@@ -52,7 +49,9 @@
             limits=_read_limits(document.get('limits') or {}),
         )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
-        raise DecodeError(f'{type(error).__name__}: {error}') from error
+        raise decoding.DecodeError(
+            f'{type(error).__name__}: {error}'
+        ) from error
 
 
 def read_target(name: str, content: bytes) -> registry.TargetRecord:
@@ -65,7 +64,7 @@
     Raises:
         DecodeError: The row does not match the schema.
     """
-    document = _read_object(content)
+    document = decoding.decode_json(content, dict[str, typing.Any])
     try:
         info, status = document['info'], document['status']
         started_ms = document.get('born', 0)
@@ -82,15 +81,21 @@
             started_ms=started_ms,
         )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
-        raise DecodeError(f'{type(error).__name__}: {error}') from error
+        raise decoding.DecodeError(
+            f'{type(error).__name__}: {error}'
+        ) from error
     string_fields = (record.service, record.address, record.domain)
     integer_fields = (record.slots, record.started_ms)
     if not all(isinstance(item, str) and item for item in string_fields):
-        raise DecodeError('service, address or zone is not a non-empty string')
+        raise decoding.DecodeError(
+            'service, address or zone is not a non-empty string'
+        )
     if any(type(item) is not int for item in integer_fields):
-        raise DecodeError('concurrency or born is not an integer')
+        raise decoding.DecodeError('concurrency or born is not an integer')
     if record.slots < 1 or ':' not in record.address:
-        raise DecodeError('concurrency is below 1 or address has no port')
+        raise decoding.DecodeError(
+            'concurrency is below 1 or address has no port'
+        )
     return record
 
 
@@ -109,13 +114,6 @@
     )
 
 
-def _read_object(content: bytes) -> dict[str, typing.Any]:
-    try:
-        return msgspec.json.decode(content, type=dict[str, typing.Any])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DecodeError(str(error)) from error
-
-
 def _read_route(name: str, item: dict[str, typing.Any]) -> model.Route:
     weighted = item.get('weighted_services')
     shares = (
--- a/wigeonhatch/platform/http_client.py
+++ b/wigeonhatch/platform/http_client.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from wigeonhatch import decoding
 from wigeonhatch.platform import _reply
 from wigeonhatch.platform import interface
 
@@ -94,8 +95,8 @@
         if reply.status != 200:
             return interface.Unknown(f'HTTP status {reply.status}')
         try:
-            response = msgspec.json.decode(reply.body, type=CommitResponse)
-        except msgspec.DecodeError as error:
+            response = decoding.decode_json(reply.body, CommitResponse)
+        except decoding.DecodeError as error:
             return interface.Unknown(str(error))
         if response.conflict:
             return interface.Conflict(
--- a/wigeonhatch/steering/split.py
+++ b/wigeonhatch/steering/split.py
@@ -8,6 +8,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.config import model
 from wigeonhatch.steering import buckets as hash_buckets
@@ -117,8 +118,8 @@
         The split, or `CONFIG_INVALID` if the value is malformed.
     """
     try:
-        row = msgspec.json.decode(value, type=_SplitRow)
-    except msgspec.MsgspecError as error:
+        row = decoding.decode_json(value, _SplitRow)
+    except decoding.DecodeError as error:
         return _malformed('(row)', str(error))
     return from_region_indexes(
         row.service,
--- a/wigeonhatch/steering/step_writer.py
+++ b/wigeonhatch/steering/step_writer.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.config import head as heads
 from wigeonhatch.config import model
@@ -315,15 +316,15 @@
 
 def _config_version(row: interface.Row) -> int | None:
     try:
-        return msgspec.json.decode(row.value, type=heads.HeadVersion).version
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(row.value, heads.HeadVersion).version
+    except decoding.DecodeError as error:
         _log.error('cannot decode row %s: %s', row.key, error)
         return None
 
 
 def _change_id(row: interface.Row) -> str | None:
     try:
-        return msgspec.json.decode(row.value, type=StepAudit).change_id
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(row.value, StepAudit).change_id
+    except decoding.DecodeError as error:
         _log.error('cannot decode row %s: %s', row.key, error)
         return None
--- a/wigeonhatch/targets/health.py
+++ b/wigeonhatch/targets/health.py
@@ -13,6 +13,7 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
+from wigeonhatch import decoding
 from wigeonhatch import outcome
 from wigeonhatch.targets import client as target_client
 from wigeonhatch.targets import request as target_request
@@ -136,8 +137,8 @@
         if status != 200:
             return _malformed(f'status {status}')
         try:
-            body = msgspec.json.decode(content, type=_HealthBody)
-        except msgspec.MsgspecError as error:
+            body = decoding.decode_json(content, _HealthBody)
+        except decoding.DecodeError as error:
             return _malformed(str(error))
         return outcome.Success(
             HealthReport(
--- a/wigeonhatch/tracing/reader.py
+++ b/wigeonhatch/tracing/reader.py
@@ -8,7 +8,7 @@
 import pathlib
 import typing
 
-import msgspec
+from wigeonhatch import decoding
 
 STARTED = 'started'
 """Message at the start of a daemon; its fields include the host name."""
@@ -65,7 +65,7 @@
 def _decode(text: bytes, host: str) -> LogLine | None:
     # A line may be truncated where the process was killed.
     try:
-        entry = msgspec.json.decode(text, type=dict[str, typing.Any])
+        entry = decoding.decode_json(text, dict[str, typing.Any])
         return LogLine(int(entry['time_ms']), host, entry['message'], entry)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError):
         return None
