Accept only values from other processes that can be used

Cause: read_target accepted every address with a colon. Pool parses it in EdgeDaemon._on_targets, and its ValueError left the table's follower and ended the task group of the daemon. The same holds for numbers of 400 digits (OverflowError in the split of regions, in datagrams, in durations), for the row of a host without an IP address (end of the heartbeats) and for numbers of 5,000 digits in header fields (ValueError).

Change: the decoders parse addresses, bound numbers and durations, and check that texts are texts and that a route has a service with a weight.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -89,6 +89,28 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'address': '127.0.0.1:http'},
+        {'address': '127.0.0.1:0', 'status': {'state': 'draining'}},
+        {'address': 'target.example:80'},
+        {'born': 10**400},
+        {'info': {'service': 's', 'zone': 'a', 'concurrency': 10**400}},
+    ],
+)
+def test_unusable_row_ends_no_daemon(
+    tmp_path: pathlib.Path, change: dict[str, object]
+) -> None:
+    """Guards against a field whose value fails where it is used."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        row = deployment.targets['t1'].make_row() | change
+        await _serve_beside(deployment, json.dumps(row).encode())
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_outage_of_the_store_changes_nothing(tmp_path: pathlib.Path) -> None:
     """Guards against requests that fail while the store is down."""
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -26,6 +26,9 @@
     'session_affinity': True,
     'home_regions': ['north'],
 }
+HUGE = 10**400
+SHARES_WITHOUT_WEIGHT = [{'service': 's', 'weight': 0}]
+HUGE_SHARES = [{'service': 's', 'weight': HUGE}]
 SERVICE = {'health_path': '/h', 'max_conns': 9, 'warmup': '3s'}
 TARGET: dict[str, typing.Any] = {
     'address': '10.0.0.1:80',
@@ -72,6 +75,16 @@
         {'routes': {'r': ROUTE | {'type': 'other'}}},
         {'routes': {'r': ROUTE | {'timeout': 15}}},
         {'services': {'s': {}}},
+        {'version': f'r{HUGE}'},
+        {'routes': {'r': ROUTE | {'prefix': None}}},
+        {'routes': {'r': ROUTE | {'timeout': f'{HUGE}ms'}}},
+        {
+            'routes': {
+                'r': ROUTE | {'weighted_services': SHARES_WITHOUT_WEIGHT}
+            }
+        },
+        {'routes': {'r': ROUTE | {'weighted_services': HUGE_SHARES}}},
+        {'services': {'s': SERVICE | {'warmup_per_s': HUGE}}},
     ],
 )
 def test_malformed_configuration_is_rejected(
@@ -107,6 +120,17 @@
         b'{"x":' + b'[' * 4_000 + b']' * 4_000 + b'}',
         encode(TARGET | {'address': None}),
         encode(TARGET | {'address': 'nowhere'}),
+        encode(TARGET | {'address': '10.0.0.1:http'}),
+        encode(TARGET | {'address': '10.0.0.1:0'}),
+        encode(TARGET | {'address': '10.0.0.1:65536'}),
+        encode(TARGET | {'address': 'target.example:80'}),
+        encode(TARGET | {'address': ':80'}),
+        encode(TARGET | {'born': HUGE}),
+        encode(TARGET | {'born': -HUGE}),
+        encode(TARGET | {'info': TARGET['info'] | {'concurrency': HUGE}}),
+        encode(
+            TARGET | {'status': {'state': 'ready', 'warmup_left': f'{HUGE}s'}}
+        ),
         encode(TARGET | {'born': '17'}),
         encode(TARGET | {'born': True}),
         encode(TARGET | {'info': {}}),
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -31,6 +31,14 @@
         [(b'server-load', b'1,x,3'), (b'warmup-ms', b'-1')]
     )
     assert target_fields.load is None
+    long_fields = messages.read_target_fields(
+        [
+            (b'server-load', b'1,2,' + b'9' * 5_000),
+            (b'warmup-ms', b'9' * 5_000),
+            (b'rate-limit', b'9' * 5_000),
+        ]
+    )
+    assert long_fields.max_rate_per_s is None
     assert target_fields.warmup_left_ms == 0
     assert not target_fields.is_not_run
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,8 +5,10 @@
 import collections.abc
 import typing
 
+import msgspec
 import pytest
 
+from tests.peers import test_state_link
 from wigeonhatch import clock as clocks
 from wigeonhatch import codes
 from wigeonhatch import decoding
@@ -23,6 +25,7 @@
 from wigeonhatch.platform import decode
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import forward_fields
 from wigeonhatch.steering import split as splits
 from wigeonhatch.targets import health
 from wigeonhatch.tracing import reader
@@ -122,6 +125,28 @@
     assert isinstance(prober._parse(200, NESTED_JSON), outcome.Failure)
 
 
+def test_host_without_an_address_is_rejected() -> None:
+    """Guards against a row or datagram that ends the heartbeats."""
+    with pytest.raises(decoding.DecodeError):
+        roster.Roster('h1').put_entry('h2', b'{"ip":"h2","incarnation":1}')
+    state = msgspec.structs.replace(
+        test_state_link.STATE, caller_address='h2:80'
+    )
+    with pytest.raises(decoding.DecodeError):
+        state_link.decode_state(state_link.encode_state(state))
+
+
+@pytest.mark.parametrize('value', [b'1', b'1 x', b'1 ' + b'9' * 5_000])
+def test_unreadable_limits_of_a_peer_are_absent(value: bytes) -> None:
+    """Guards against a field of a peer that fails a forwarded request."""
+    assert forward_fields.parse_limits(value) is None
+
+
+def test_unreadable_era_is_absent() -> None:
+    """Guards against a field of the store that ends its followers."""
+    assert _reply.read_era([(b'store-era', b'9' * 5_000)]) is None
+
+
 def test_unreadable_log_line_is_passed_over() -> None:
     """Guards against a log line that ends an operator's command."""
     assert reader._decode(NESTED_JSON, 'h1') is None
--- a/wigeonhatch/durations.py
+++ b/wigeonhatch/durations.py
@@ -4,7 +4,7 @@
 
 import re
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)', re.ASCII)
+_DURATION = re.compile(r'(\d{1,12}(?:\.\d+)?)(ms|s)', re.ASCII)
 _MS_BY_UNIT = {'ms': 1.0, 's': 1_000.0}
 
 
@@ -12,7 +12,7 @@
     """Parse a duration.
 
     Args:
-        text: Number with the unit `ms` or `s`.
+        text: Number of at most 12 integer digits with the unit `ms` or `s`.
 
     Returns:
         Duration in ms.
--- a/wigeonhatch/peers/roster.py
+++ b/wigeonhatch/peers/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import ipaddress
 
 import msgspec
 
@@ -20,6 +21,14 @@
     ip: str
     incarnation: int
 
+    def __post_init__(self) -> None:
+        """Reject what is no address.
+
+        Raises:
+            ValueError: `ip` is no IP address.
+        """
+        ipaddress.ip_address(self.ip)
+
 
 class Roster:
     """Addresses of all other hosts by name.
--- a/wigeonhatch/peers/row_share.py
+++ b/wigeonhatch/peers/row_share.py
@@ -21,6 +21,7 @@
 ROWS_PATH = '/rows'
 FETCH_TIMEOUT_MS = 700
 """Timeout of each phase of a peer call; a round trip takes up to 90 ms."""
+_MAX_VERSION_DIGITS = 18
 _LOG = logging.getLogger(__name__)
 
 
@@ -58,9 +59,8 @@
         Encoded rows; None if this host has not read the table.
     """
     after = query.get('after', '')
-    rows = read_rows(
-        query.get('table', ''), int(after) if after.isdecimal() else 0
-    )
+    is_version = after.isdecimal() and len(after) <= _MAX_VERSION_DIGITS
+    rows = read_rows(query.get('table', ''), int(after) if is_version else 0)
     return None if rows is None else msgspec.msgpack.encode(rows)
 
 
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -17,6 +17,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import decoding
 from wigeonhatch import log
+from wigeonhatch import settings
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.requests import quarantine
 
@@ -114,6 +115,23 @@
     return data
 
 
+def decode_state(data: bytes) -> HostState:
+    """Decode the state of a peer.
+
+    Args:
+        data: Content of a datagram.
+
+    Raises:
+        DecodeError: It is malformed, or the peer has no usable address.
+    """
+    state = decoding.decode_msgpack(data, HostState)
+    try:
+        settings.parse_address(state.caller_address)
+    except ValueError as error:
+        raise decoding.DecodeError(f'caller_address: {error}') from error
+    return state
+
+
 class PeerTable:
     """Newest state of each peer.
 
@@ -241,7 +259,7 @@
     ) -> None:
         """Decode the state of a peer; log and count malformed datagrams."""
         try:
-            state = decoding.decode_msgpack(data, HostState)
+            state = decode_state(data)
         except decoding.DecodeError as error:
             self.malformed_count += 1
             log.event(
--- a/wigeonhatch/platform/_reply.py
+++ b/wigeonhatch/platform/_reply.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import re
 import typing
 
 import httpcore
@@ -25,6 +26,7 @@
     httpcore.TimeoutException,
 )
 """Errors after which the request may have been sent and taken effect."""
+_ERA = re.compile(rb'[0-9]{1,6}')
 _T = typing.TypeVar('_T')
 
 
@@ -49,7 +51,7 @@
         None if the field is missing or malformed.
     """
     for name, value in headers:
-        if name.lower() == names.STORE_ERA and value.isdigit():
+        if name.lower() == names.STORE_ERA and _ERA.fullmatch(value):
             return int(value)
     return None
 
--- a/wigeonhatch/platform/decode.py
+++ b/wigeonhatch/platform/decode.py
@@ -12,11 +12,22 @@
 
 from wigeonhatch import decoding
 from wigeonhatch import durations
+from wigeonhatch import settings
 from wigeonhatch.platform import names
 from wigeonhatch.routes import model
 from wigeonhatch.targets import registry
 
-_VERSION = re.compile(r'r(\d+)', re.ASCII)
+_VERSION = re.compile(r'r(\d{1,15})', re.ASCII)
+_MAX_INTEGER = 2**53 - 1
+"""Largest integer that JSON represents exactly in all implementations."""
+_MISMATCHES = (
+    KeyError,
+    TypeError,
+    AttributeError,
+    ValueError,
+    OverflowError,
+)
+"""Errors of reading a document that does not match the schema."""
 _READY_BY_STATE = {'ready': True, 'draining': False}
 
 
@@ -48,7 +59,7 @@
             },
             limits=_read_limits(document.get('limits') or {}),
         )
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except _MISMATCHES as error:
         raise decoding.DecodeError(
             f'{type(error).__name__}: {error}'
         ) from error
@@ -80,23 +91,31 @@
             ),
             started_ms=started_ms,
         )
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except _MISMATCHES as error:
         raise decoding.DecodeError(
             f'{type(error).__name__}: {error}'
         ) from error
+    _check_target(record)
+    return record
+
+
+def _check_target(record: registry.TargetRecord) -> None:
     string_fields = (record.service, record.address, record.domain)
-    integer_fields = (record.slots, record.started_ms)
     if not all(isinstance(item, str) and item for item in string_fields):
         raise decoding.DecodeError(
             'service, address or zone is not a non-empty string'
         )
-    if any(type(item) is not int for item in integer_fields):
-        raise decoding.DecodeError('concurrency or born is not an integer')
-    if record.slots < 1 or ':' not in record.address:
-        raise decoding.DecodeError(
-            'concurrency is below 1 or address has no port'
-        )
-    return record
+    for value in (record.slots, record.started_ms):
+        if type(value) is not int or abs(value) > _MAX_INTEGER:
+            raise decoding.DecodeError(
+                'concurrency or born is not an integer in range'
+            )
+    if record.slots < 1:
+        raise decoding.DecodeError('concurrency is below 1')
+    try:
+        settings.parse_address(record.address)
+    except ValueError as error:
+        raise decoding.DecodeError(f'address: {error}') from error
 
 
 def read_evacuated_domains(
@@ -118,17 +137,19 @@
     weighted = item.get('weighted_services')
     shares = (
         tuple(
-            model.ServiceShare(share['service'], float(share['weight']))
+            model.ServiceShare(_text(share['service']), float(share['weight']))
             for share in weighted
             if share['weight'] > 0
         )
         if weighted
-        else (model.ServiceShare(item['service'], 1.0),)
+        else (model.ServiceShare(_text(item['service']), 1.0),)
     )
+    if not shares:
+        raise ValueError(f'route {name} has no service with a weight')
     return model.Route(
         name=name,
         host_name=item['host'].lower(),
-        prefix=item['prefix'],
+        prefix=_text(item['prefix']),
         kind=model.RequestKind(item['type']),
         timeout_ms=durations.parse_duration_ms(item.get('timeout') or '0ms'),
         objective_ms=durations.parse_duration_ms(
@@ -142,9 +163,15 @@
     )
 
 
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f'{value!r:.40} is not a string')
+    return value
+
+
 def _read_service(item: dict[str, typing.Any]) -> model.ServiceConfig:
     return model.ServiceConfig(
-        health_path=item['health_path'],
+        health_path=_text(item['health_path']),
         max_connections=int(item['max_conns']),
         warmup_ms=durations.parse_duration_ms(item.get('warmup') or '0ms'),
         cold_rate_per_s=float(item.get('warmup_per_s') or 0.0),
--- a/wigeonhatch/platform/messages.py
+++ b/wigeonhatch/platform/messages.py
@@ -161,7 +161,8 @@
 
 def _parse_load(value: bytes | None) -> tuple[int, int, int] | None:
     items = (value or b'').split(b',')
-    if len(items) != 3 or not all(item.strip().isdigit() for item in items):
-        return None
-    running, queued, slots = (int(item) for item in items)
-    return running, queued, slots
+    counts = [_parse_digits(item.strip()) for item in items]
+    match counts:
+        case [int(running), int(queued), int(slots)]:
+            return running, queued, slots
+    return None
--- a/wigeonhatch/platform/store.py
+++ b/wigeonhatch/platform/store.py
@@ -35,7 +35,7 @@
     key: str
     part: str = ''
     value: str = ''
-    ver: int = 0
+    ver: store_version.Number = 0
     deleted: bool = False
 
 
@@ -43,12 +43,12 @@
     """Rows of one response; `ver` is the newest change of the store."""
 
     rows: list[_WireRow]
-    ver: int
+    ver: store_version.Number
     has_more: bool = False
 
 
 class _WireVersion(msgspec.Struct):
-    ver: int
+    ver: store_version.Number
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonhatch/platform/store_version.py
+++ b/wigeonhatch/platform/store_version.py
@@ -6,7 +6,13 @@
 
 from __future__ import annotations
 
+import typing
+
+import msgspec
+
 _ERA_FACTOR = 10**12
+Number = typing.Annotated[int, msgspec.Meta(ge=0, lt=_ERA_FACTOR)]
+"""Version number of the store within an era."""
 
 
 def combine(era: int, number: int) -> int:
--- a/wigeonhatch/requests/forward_fields.py
+++ b/wigeonhatch/requests/forward_fields.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 from wigeonhatch import codes
 from wigeonhatch.requests import headers as fields
 
+_LIMITS = re.compile(rb'([0-9]{1,4}) ([0-9]{1,15})')
 _RAN_BY_NAME = {ran.name.encode(): ran for ran in codes.Ran}
 
 
@@ -58,10 +60,10 @@
     Returns:
         The limits; None if the field is absent or malformed.
     """
-    items = (value or b'').split()
-    if len(items) != 2 or not all(item.isdigit() for item in items):
+    match = _LIMITS.fullmatch(value or b'')
+    if match is None:
         return None
-    return Limits(max(1, int(items[0])), int(items[1]))
+    return Limits(max(1, int(match[1])), int(match[2]))
 
 
 def encode_decision(decision: Decision) -> tuple[bytes, bytes]:
