Accept requests during a stop only if they end before the process

Cause: until 2.9 s before the forced end each request was accepted, whatever time it may take; the route of the uploads allows 5 s.

Change: a stopping host refuses as not run what may take longer than until its exit, by the deadline of the caller and the timeout of the route. What it accepts ends by itself. entry refuses likewise what may outlast its stop bound. A line in the log counts requests that a stop interrupts.

Ruled out: the poll of 50 ms (a request of 2.9 s was accepted with 2.6 s left) and the exit margin (0.3 s would be missing without it).

test_stop_cuts_no_request sends a deadline of 1.5 s now, as callers do. Without one, the 3 s of its route leave 0.5 s of its grace of 4 s to accept requests, and 8 responses in place of the more than 10 that it asks for, which stays.

--- a/tests/end_to_end/edge_deployment.py
+++ b/tests/end_to_end/edge_deployment.py
@@ -20,6 +20,7 @@
 START_TIMEOUT_S = 20
 STOP_GRACE_MS = 4_000
 SLOW_RESPONSE_MS = 600
+DELAY_MS_BY_PATH = {b'/slow': SLOW_RESPONSE_MS, b'/long': 2_800}
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -39,7 +40,7 @@
 
 
 class Target:
-    """Target that responds with its name, slowly for paths with `/slow`."""
+    """Target that responds with its name, after a delay for some paths."""
 
     def __init__(self, name: str, port: int) -> None:
         self.name = name
@@ -65,8 +66,9 @@
                     for line in head.decode().split('\r\n')[1:]
                 )
                 request_id = fields['request-id']
-                if b'/slow' in head:
-                    await anyio.sleep(SLOW_RESPONSE_MS / 1_000)
+                for path, delay_ms in DELAY_MS_BY_PATH.items():
+                    if path in head:
+                        await anyio.sleep(delay_ms / 1_000)
                 self.served_ids.append(request_id)
                 await stream.send(
                     f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n'
@@ -186,16 +188,20 @@
         content: bytes | None = None,
         method: str = 'GET',
         shared_pool: httpcore.AsyncConnectionPool | None = None,
+        deadline_ms: int | None = None,
     ) -> tuple[int, bytes]:
         """Send one request, with a pool of its own or a shared one."""
         async with contextlib.AsyncExitStack() as stack:
             pool = shared_pool or await stack.enter_async_context(
                 httpcore.AsyncConnectionPool()
             )
+            headers = {'Host': 'x.example', 'Request-Id': request_id}
+            if deadline_ms is not None:
+                headers['Deadline-Ms'] = f'{deadline_ms}'
             response = await pool.request(
                 method,
                 f'http://{address(port)}{path}',
-                headers={'Host': 'x.example', 'Request-Id': request_id},
+                headers=headers,
                 content=content,
             )
             return response.status, response.content
--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -147,7 +147,11 @@
                     request_id = f'{name}-{number}'
                     try:
                         status, _ = await deployment.call(
-                            deployment.port, path, request_id, shared_pool=pool
+                            deployment.port,
+                            path,
+                            request_id,
+                            shared_pool=pool,
+                            deadline_ms=1_500,
                         )
                         statuses.append(status)
                     except httpcore.ConnectError:
@@ -175,6 +179,41 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+def test_stop_interrupts_no_long_request(tmp_path: pathlib.Path) -> None:
+    """Guards against a stopping host that accepts what it cannot finish."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        edge = await deployment.start()
+        statuses: list[int] = []
+        interrupted_ids: list[str] = []
+
+        async def call(request_id: str) -> None:
+            try:
+                status, _ = await deployment.call(
+                    deployment.port, '/r/long', request_id
+                )
+                statuses.append(status)
+                if status not in (200, 503):
+                    interrupted_ids.append(request_id)
+            except httpcore.ConnectError:
+                return
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                interrupted_ids.append(request_id)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call, 'early')
+            await anyio.sleep(0.5)
+            edge.send_signal(signal.SIGTERM)
+            for number in range(50):
+                tasks.start_soon(call, f'r{number}')
+                await anyio.sleep(0.08)
+        assert await anyio.to_thread.run_sync(edge.wait) == 0
+        assert interrupted_ids == []
+        assert {200, 503} <= set(statuses)
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_limits_of_the_configuration_hold(tmp_path: pathlib.Path) -> None:
     """Guards against callers that exceed the header size or idle timeout."""
 
--- a/tests/requests/test_edge.py
+++ b/tests/requests/test_edge.py
@@ -59,6 +59,19 @@
         assert health.json == {'state': 'ok'}
 
 
+@scripted.run_on_uvloop
+async def test_stopping_host_accepts_only_what_ends_before_it() -> None:
+    """Guards against a request that is accepted and then interrupted."""
+    async with rigs.serving(rigs.LOCAL, scripted.respond()) as (rig, target):
+        host = rig.hosts['h1']
+        host.application.end_ms = host.clock.now_ms + 4_000
+        late = await rig.call('h1', headers={DEADLINE: '5000'})
+        assert late.result == ('NOT_READY', NOT_RUN)
+        assert host.slots.acquire_count == 0
+        in_time = await rig.call('h1', headers={DEADLINE: '3000'})
+        assert in_time.content == b'ok'
+
+
 HEAD = b'PUT /svc/x HTTP/1.1\r\nHost: x\r\n'
 # Bytes that a sender sends before it stalls, and the refusal.
 SENDERS = {
--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -13,10 +13,12 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch.requests import edge
+from wigeonhatch.requests import forward_fields
 from wigeonhatch.requests import relay_model
 from wigeonhatch.routes import table as tables
 
 CODE = codes.ResultCode
+DEADLINE_MS = 1_200
 RAN = codes.Ran
 
 
@@ -48,6 +50,7 @@
         is_for_peers: bool = False,
     ) -> None:
         self.relay = _Relay(result)
+        self.clock = clocks.ManualClock()
         routes = tables.RouteTable()
         if version:
             route = test_table.build_route('r', '/a/', ('s', 1))
@@ -57,7 +60,7 @@
             typing.cast(typing.Any, self.relay),
             lambda target: 'north',
             lambda *arguments: None,
-            clocks.ManualClock(),
+            self.clock,
             is_for_peers,
         )
         self.status = 0
@@ -80,7 +83,7 @@
             'headers': [
                 (b'host', b'x.example'),
                 (b'request-id', b'r1'),
-                (b'deadline-ms', b'1200'),
+                (b'deadline-ms', b'%d' % DEADLINE_MS),
                 *self._headers,
             ],
         }
@@ -143,8 +146,23 @@
 def test_stopping_host_closes_and_then_refuses() -> None:
     """Guards against connections that stay open to a stopping host."""
     call = Call(RELAYED)
-    call.application.is_stopping = True
+    call.application.end_ms = call.clock.now_ms + DEADLINE_MS
     assert call.run().headers[b'connection'] == b'close'
-    call.application.is_refusing = True
+    call.application.end_ms = call.clock.now_ms
     assert call.run().status == 503
     assert len(call.relay.requests) == 1
+
+
+@pytest.mark.parametrize('is_for_peers', [False, True])
+def test_stopping_host_accepts_only_what_ends_before_it(
+    is_for_peers: bool,
+) -> None:
+    """Guards against a request that is accepted and then interrupted."""
+    limits = forward_fields.encode_limits(forward_fields.Limits(1, 1))
+    call = Call(RELAYED, is_for_peers=is_for_peers, headers=[limits])
+    call.application.end_ms = call.clock.now_ms + DEADLINE_MS - 1
+    assert call.run().status == 503
+    assert b'retry-after' in call.headers
+    assert call.relay.requests == []
+    call.application.end_ms += 1
+    assert call.run().status == RELAYED.status
--- a/wigeonhatch/entry/edge_stop.py
+++ b/wigeonhatch/entry/edge_stop.py
@@ -3,25 +3,30 @@
 from __future__ import annotations
 
 import collections.abc
+import logging
 import typing
 
 import anyio
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import log
 
 EXIT_MARGIN_MS = 400
 """Time before the forced termination at which the process exits itself."""
-MIN_REQUEST_TIME_MS = 2_500
-"""Minimum time before the forced termination for a request to be accepted."""
+RESPONSE_MARGIN_MS = 100
+"""Time to answer a request that has reached its timeout."""
 _POLL_MS = 50
+_LOG = logging.getLogger(__name__)
 
 
 class Application(typing.Protocol):
-    """Application whose requests are finished."""
+    """Application whose requests are finished.
+
+    It refuses requests that may last beyond `end_ms`.
+    """
 
     in_progress: int
-    is_stopping: bool
-    is_refusing: bool
+    end_ms: int | None
 
 
 class Server(typing.Protocol):
@@ -43,8 +48,9 @@
     """Withdraw from the lookups and finish the requests in progress.
 
     Callers with an earlier lookup result are served until its TTL has expired
-    and the host is idle, or until the time left is too short for a request.
-    Later requests are refused as not run.
+    and the host is idle. A request is accepted only if it ends before the
+    process exits, even if it takes until its timeout; others are refused as
+    not run, so that another host can serve them.
 
     Args:
         applications: Applications that receive requests.
@@ -57,26 +63,26 @@
     started_ms = clock.now_ms
     end_ms = started_ms + grace_ms - EXIT_MARGIN_MS
     for application in applications:
-        application.is_stopping = True
+        application.end_ms = end_ms - RESPONSE_MARGIN_MS
 
     def count_requests() -> int:
         return sum(item.in_progress for item in applications)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(leave)
-        while clock.now_ms < end_ms - MIN_REQUEST_TIME_MS:
+        while clock.now_ms < end_ms:
             is_expired = clock.now_ms - started_ms > ttl_ms
             if is_expired and not count_requests():
                 break
             await clock.sleep_ms(_POLL_MS)
-        for application in applications:
-            application.is_refusing = True
-        while count_requests() and clock.now_ms < end_ms:
-            await clock.sleep_ms(_POLL_MS)
         tasks.cancel_scope.cancel()
+    for application in applications:
+        application.end_ms = started_ms
     for server in servers:
         server.should_exit = True
     while count_requests() and clock.now_ms < end_ms:
         await clock.sleep_ms(_POLL_MS)
+    if count_requests():
+        log.event(_LOG, 'requests interrupted', count=count_requests())
     # Lets the servers close their idle connections.
     await clock.sleep_ms(EXIT_MARGIN_MS // 2)
--- a/wigeonhatch/entry/stop.py
+++ b/wigeonhatch/entry/stop.py
@@ -11,6 +11,8 @@
 
 CONNECTION_CLOSE_MS = 200
 """Time for the server to close its idle connections."""
+_RESPONSE_MARGIN_MS = 100
+"""Time to answer a request that has reached its deadline."""
 _POLL_MS = 50
 _DRAIN_PROPAGATION_MS = 1_000
 """Time until all reachable hosts know that this host drains."""
@@ -53,6 +55,8 @@
 ) -> bool:
     """Serve until earlier lookup results have expired and requests have ended.
 
+    Requests whose deadline is later than the bound are refused as not run.
+
     Args:
         control: Control plane.
         data_plane: Data plane.
@@ -64,9 +68,10 @@
     """
     clock = control.clock
     started_ms = clock.now_ms
+    end_ms = started_ms + model.LOOKUP_TTL_MS + bound_ms
+    data_plane.application.end_ms = end_ms - _RESPONSE_MARGIN_MS
     while clock.now_ms - started_ms < model.LOOKUP_TTL_MS:
         await clock.sleep_ms(_POLL_MS)
-    end_ms = clock.now_ms + bound_ms
     while data_plane.in_progress:
         if clock.now_ms >= end_ms:
             _LOG.warning('%d requests interrupted', data_plane.in_progress)
--- a/wigeonhatch/requests/application.py
+++ b/wigeonhatch/requests/application.py
@@ -48,6 +48,12 @@
         describe_health: Describes the state of this host, for JSON.
         runner: Runs the requests.
         on_finished: Receives the result of each request.
+
+    Attributes:
+        in_progress: Number of requests that have not been answered.
+        end_ms: Time on the monotonic clock in ms at which the host ends the
+            requests in progress; None unless it stops. Requests with a later
+            deadline are refused.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         on_finished: model.OnFinished | None = None,
     ) -> None:
         self.in_progress = 0
+        self.end_ms: int | None = None
         self._clock = clock
         self._limits = limits
         self._config = config
@@ -120,6 +127,14 @@
             self._report(request_id, '', parsed, started_ms)
             return
         request, length = parsed
+        if self.end_ms is not None and request.deadline_ms > self.end_ms:
+            stopping = outcome.Failure(
+                codes.ResultCode.NOT_READY,
+                'the host stops before the deadline',
+            )
+            await self._refuse(send, stopping, request_id)
+            self._report(request_id, request.service, stopping, started_ms)
+            return
         reply = _asgi.AsgiReply(send, request.method == 'HEAD')
         control = model.RequestControl()
         caller = _asgi.CallerConnection(
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -69,6 +69,12 @@
         on_finished: Receives the result of each request.
         clock: Source of monotonic time.
         is_for_peers: Whether it takes requests that peers forward.
+
+    Attributes:
+        in_progress: Number of requests that have not been answered.
+        end_ms: Time on the monotonic clock in ms at which the host ends the
+            requests in progress; None unless it stops. Requests that may
+            last longer are refused.
     """
 
     def __init__(
@@ -81,8 +87,7 @@
         is_for_peers: bool = False,
     ) -> None:
         self.in_progress = 0
-        self.is_stopping = False
-        self.is_refusing = False
+        self.end_ms: int | None = None
         self._routes = routes
         self._relay = relay
         self._find_region = find_region
@@ -191,7 +196,7 @@
         received_ms: int,
     ) -> relay_model.RelayRequest | outcome.Failure:
         config = self._routes.config
-        if config is None or self.is_refusing:
+        if config is None:
             return outcome.Failure(codes.ResultCode.NOT_READY)
         raw_path: bytes = scope['raw_path']
         host_name: bytes = header_by_name.get(b'host', b'')
@@ -216,6 +221,10 @@
         timeout_ms = caller_fields.timeout_ms or DEFAULT_DEADLINE_MS
         if route.timeout_ms:
             timeout_ms = min(timeout_ms, route.timeout_ms)
+        if self.end_ms is not None and received_ms + timeout_ms > self.end_ms:
+            return outcome.Failure(
+                codes.ResultCode.NOT_READY, 'the host stops before the timeout'
+            )
         path = raw_path
         if scope['query_string']:
             path += b'?' + scope['query_string']
@@ -266,7 +275,7 @@
                 *forward_fields.remove_decision(tuple(headers)),
                 forward_fields.encode_decision(_describe(result)),
             ]
-        if self.is_stopping:
+        if self.end_ms is not None:
             headers.append(_CONNECTION_CLOSE)
         reply.is_finished = True
         await reply.start(status, tuple(headers))
