Take no pause between calls for an outage of the store

Cause: a host whose call fails while it is briefly the reader of its domain reads through its peers afterwards, and probes the store 30 s later. It took these 30 s for the length of the outage and kept removed targets for a grace period of 2.5 s.

Change: two failed calls belong to one outage only if the pause between them is at most 2.4 s, a backoff and a fetch from a peer. That is below the shortest outage that starts a grace period, so that no pause alone does.

Ruled out: rows that come late from peers, which stopped in time; entries that really expired.

--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -9,6 +9,7 @@
 
 from tests.entry import fake_store
 from wigeonhatch import clock as clocks
+from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import table_follower
 from wigeonhatch.peers import row_share
 from wigeonhatch.platform import store as stores
@@ -312,6 +313,55 @@
     anyio.run(scenario)
 
 
+def test_pause_between_calls_is_no_outage() -> None:
+    """Guards against a grace period long after an outage of the store.
+
+    After its call has failed, a host follows its peers, and calls the store
+    again only to probe it.
+    """
+
+    async def scenario() -> None:
+        harness = _FollowerHarness()
+        await harness.run_for()
+        harness.store.is_down = True
+        await harness.run_for()
+        await _run_as_non_reader(harness, [])
+        harness.store.is_down = False
+        harness.clock.advance(table_follower.PROBE_INTERVAL_MS)
+        await harness.run_for()
+        assert harness.follower.is_connected
+        assert all(
+            outage_ms <= catalogs.MIN_OUTAGE_MS
+            for outage_ms in harness.outages_ms
+        )
+
+    anyio.run(scenario)
+
+
+def test_outages_on_both_sides_of_a_pause_are_two() -> None:
+    """Guards against a probe in an outage that counts the time before it."""
+
+    async def scenario() -> None:
+        harness = _FollowerHarness()
+        await harness.run_for()
+        harness.store.is_down = True
+        await harness.run_for()
+        harness.clock.advance(table_follower.PROBE_INTERVAL_MS)
+        second_ms = harness.clock.now_ms
+        await harness.run_for()
+        harness.store.is_down = False
+        await harness.run_for()
+        assert len(harness.outages_ms) == 1
+        assert harness.outages_ms[0] <= harness.clock.now_ms - second_ms
+
+    anyio.run(scenario)
+
+
+def test_no_pause_alone_starts_a_grace_period() -> None:
+    """Guards against a pause that counts as an outage of the store."""
+    assert table_follower.MAX_OUTAGE_GAP_MS < catalogs.MIN_OUTAGE_MS
+
+
 def test_changes_after_a_restore_are_announced_and_fetched() -> None:
     """Guards against versions of two histories that count as the same."""
 
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -38,6 +38,10 @@
 PROBE_INTERVAL_MS = 30_000
 """Interval at which a host that is no reader probes the store, so that it
 knows whether it could become one."""
+MAX_OUTAGE_GAP_MS = 2_400
+"""Longest pause between two calls of one outage: a backoff and a fetch from a
+peer that times out. A host that is no reader pauses for longer. Below the
+shortest outage that starts a grace period, so that no pause alone does."""
 INITIAL_BACKOFF_MS = 100
 """Backoff after the first failed call; longer than a usual response time."""
 MAX_BACKOFF_MS = 800
@@ -105,7 +109,7 @@
         self._clock = clock
         self._rng = rng
         self._failures = 0
-        self._down_since_ms = 0
+        self._down_since_ms: int | None = None
         self._refreshed_ms = clock.now_ms
         self._last_call_ms: int | None = None
         self._followed_since_ms: int | None = None
@@ -190,6 +194,7 @@
 
     async def _poll(self) -> bool:
         started_ms = self._clock.now_ms
+        self._end_unobserved_outage(started_ms)
         wait_ms = self._select_wait_ms()
         if self.cache.version is None:
             result: object = await self._store.list_rows(self._table)
@@ -225,6 +230,15 @@
                     await self._clock.sleep_ms(BATCH_DELAY_MS)
         return True
 
+    def _end_unobserved_outage(self, now_ms: int) -> None:
+        """Forget an outage whose end this host has not observed.
+
+        Meanwhile it took over the rows and the grace period of its peers.
+        """
+        last_ms = self._last_call_ms
+        if last_ms is not None and now_ms - last_ms > MAX_OUTAGE_GAP_MS:
+            self._down_since_ms = None
+
     async def _update_from_peer(self) -> bool:
         """Apply the rows that a peer has read if they are newer."""
         cache = self.cache
@@ -274,8 +288,11 @@
     def _on_response(self, version: int) -> None:
         now_ms = self._clock.now_ms
         if not self.is_connected:
-            is_first = self.last_response_ms is None
-            outage_ms = 0 if is_first else now_ms - self._down_since_ms
+            since_ms = self._down_since_ms
+            is_observed = self.last_response_ms is not None
+            outage_ms = 0
+            if is_observed and since_ms is not None:
+                outage_ms = now_ms - since_ms
             log.event(
                 _LOG,
                 'store reached',
@@ -283,16 +300,17 @@
                 version=version,
                 outage_ms=outage_ms,
             )
-            if not is_first:
+            if outage_ms > 0:
                 self._on_recovered(outage_ms)
         self.is_connected = True
+        self._down_since_ms = None
         self.last_response_ms = now_ms
         if self._followed_since_ms is None:
             self._followed_since_ms = now_ms
         self._failures = 0
 
     def _on_outage(self, reason: str, since_ms: int) -> None:
-        if self.is_connected:
+        if self._down_since_ms is None:
             self._down_since_ms = since_ms
             log.event(
                 _LOG,
