Record requests to reload that arrive while a daemon starts

Operators saw processes that ended by themselves. SIGHUP ends a daemon that has no handler for it: in the first 0.7 to 1.1 s of edge, and at any time of entry.

Cause: handlers were set after all imports and after the first tasks; entry handled only SIGTERM and SIGINT.

Change: the first statement of the program records SIGHUP, and the daemon reloads once it runs. Commands that are no daemons keep the default action.

Result: test_signal_at_the_start_ends_no_daemon failed before and passes. Whether this is what operators saw is not known, as they kept no logs.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -11,6 +11,7 @@
 import httpcore
 import pytest
 
+from tests import processes
 from tests.end_to_end import edge_deployment as deployments
 
 
@@ -268,6 +269,28 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+def test_signal_at_the_start_ends_no_daemon(tmp_path: pathlib.Path) -> None:
+    """Guards against SIGHUP that ends a daemon which still starts."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        edge = await deployment.start()
+        edge.kill()
+        edge.wait()
+        edge = deployment.spawn_edge()
+        # Before the interpreter runs, no program can handle a signal.
+        while not processes.catches(edge.pid, signal.SIGHUP):
+            await anyio.sleep(0.005)
+        assert deployment.log_path.read_bytes().count(b'"started"') == 1
+        while deployment.log_path.read_bytes().count(b'"started"') < 2:
+            edge.send_signal(signal.SIGHUP)
+            await anyio.sleep(0.05)
+            assert edge.poll() is None
+        await deployment.wait_for(deployment.ready_port, '/readiness', 200)
+        assert b'settings read again' in deployment.log_path.read_bytes()
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_settings_are_read_again(tmp_path: pathlib.Path) -> None:
     """Guards against a host that fails when its settings are reloaded."""
 
--- a/wigeonhatch/cli/daemons.py
+++ b/wigeonhatch/cli/daemons.py
@@ -5,6 +5,7 @@
 import os
 
 from wigeonhatch import outcome
+from wigeonhatch import pending_signals
 from wigeonhatch import settings as settings_module
 
 
@@ -16,6 +17,7 @@
     Examples:
       wigeonhatch entry /etc/wigeonhatch/entry-1.json
     """
+    pending_signals.hold()
     loaded = settings_module.load_settings(settings)
     if isinstance(loaded, outcome.Failure):
         return _print_failure(loaded)
@@ -36,6 +38,7 @@
     Examples:
       wigeonhatch edge /etc/wigeonhatch/node.json
     """
+    pending_signals.hold()
     from wigeonhatch.entry import edge_settings
 
     path = settings or os.environ.get(edge_settings.SETTINGS_VARIABLE, '')
--- a/wigeonhatch/cli/program.py
+++ b/wigeonhatch/cli/program.py
@@ -10,6 +10,7 @@
 
 from wigeonhatch import codes
 from wigeonhatch import outcome
+from wigeonhatch import pending_signals
 from wigeonhatch.cli import daemons
 
 _LOG = logging.getLogger(__name__)
@@ -70,6 +71,7 @@
         # The daemon does not import the operator commands, which would add to
         # its memory and start-up time.
         return daemons.edge(*paths)
+    pending_signals.release()
     from wigeonhatch.cli import dispatch
 
     return dispatch.run(arguments)
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -112,12 +112,14 @@
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             task_status.started()
             async for number in signals:
                 _LOG.info('received %s', signal.Signals(number).name)
-                self._stop_event.set()
+                # Settings are read at the start only.
+                if number != signal.SIGHUP:
+                    self._stop_event.set()
 
     async def _run_node(
         self,
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -27,6 +27,7 @@
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_servers
 from wigeonhatch.entry import edge_settings
+from wigeonhatch.entry import edge_signals
 from wigeonhatch.entry import edge_stop
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import quarantine_store
@@ -264,7 +265,7 @@
             with anyio.open_signal_receiver(
                 signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as signals:
-                await self._handle_signals(signals)
+                await edge_signals.wait_for_stop(signals, self._reload)
                 self._is_stopping = True
                 self._relay.is_stopping = True
                 await edge_stop.stop_gracefully(
@@ -293,16 +294,6 @@
             fractions_by_region=self._fractions.report,
         )
 
-    async def _handle_signals(
-        self, signals: collections.abc.AsyncIterable[signal.Signals]
-    ) -> None:
-        """Reload on SIGHUP; return on the first other signal."""
-        async for number in signals:
-            log.event(_LOG, 'signal', name=signal.Signals(number).name)
-            if number != signal.SIGHUP:
-                return
-            self._reload()
-
     def _reload(self) -> None:
         """Reload bounds and seeds; other settings need a restart."""
         result = self._read_settings()
