Start a background task again after an unexpected error

Cause: the loops of a daemon ran in one task group, so that an unexpected error in any of them ended the process and all requests with it.

Change: a supervisor runs each loop, logs an error with its stack trace, counts it (task_errors_total) and starts the loop again after a second. The follower of a table then reads all rows, as an error may have kept some from being applied. The loops of entry are run the same way. An address that cannot be bound still ends the process.

--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -76,6 +76,9 @@
         self._metrics.set_control_counters(
             lambda: dataclasses.asdict(self._control.node.counters)
         )
+        self._metrics.set_task_errors(
+            lambda: self._control.node.supervisor.errors_by_task
+        )
         service = operator_service.OperatorService(
             settings.host, self._control.platform, daemon_view, clock
         )
@@ -152,18 +155,20 @@
             data_plane.configure(control, versioned)
 
         control.node.store.subscribe(on_change)
-        for run in (
-            data_plane.lease_holder.run,
-            data_plane.health.run,
-            control.grantor.run,
-            control.step_writer.run,
-            maintenance_module.MaintenanceLoop(
-                control, data_plane, self._metrics
-            ).run,
+        maintenance = maintenance_module.MaintenanceLoop(
+            control, data_plane, self._metrics
+        )
+        supervisor = control.node.supervisor
+        for name, run in (
+            ('lease', data_plane.lease_holder.run),
+            ('health checks', data_plane.health.run),
+            ('grants', control.grantor.run),
+            ('steps', control.step_writer.run),
+            ('maintenance', maintenance.run),
+            ('watch of the own host', self._watch_own_host),
         ):
-            tasks.start_soon(run)
+            tasks.start_soon(supervisor.run, name, run)
         self._data_plane = data_plane
-        tasks.start_soon(self._watch_own_host)
         control.membership.set_state(records.HostState.SERVING)
         _LOG.info('serving, config version %d', control.node.store.version)
 
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -14,6 +14,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch import outcome
+from wigeonhatch import supervision
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import host_weight
 from wigeonhatch.balance import loads
@@ -85,6 +86,7 @@
         self._clock = clock
         self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._is_stopping = False
+        self._supervisor = supervision.Supervisor(clock)
         self._protocol = request_server.build_protocol(settings.limits)
         self._metrics = collector.Metrics(clock)
         self._store = stores.StoreClient(settings.store_address)
@@ -154,6 +156,7 @@
             lambda: self._regions.count_by_selection
         )
         self._metrics.set_largest_shift(lambda: self._regions.meter.largest)
+        self._metrics.set_task_errors(lambda: self._supervisor.errors_by_task)
         self._metrics.set_reach(lambda: not self._reach.is_lost)
         self._client = target_client.TargetClient(
             clock,
@@ -254,12 +257,15 @@
             await self._fleet.open()
             for server in servers:
                 tasks.start_soon(server.serve)
-            self._store_follower.start(tasks)
-            tasks.start_soon(self._fleet.join)
-            tasks.start_soon(self._fleet.run)
-            tasks.start_soon(self._run_adjustments)
-            tasks.start_soon(self._reach.run)
-            tasks.start_soon(self._quarantine_store.run)
+            self._store_follower.start(tasks, self._supervisor)
+            for name, run in (
+                ('registration', self._fleet.join),
+                ('heartbeats', self._fleet.run),
+                ('adjustments', self._run_adjustments),
+                ('target probes', self._reach.run),
+                ('quarantines', self._quarantine_store.run),
+            ):
+                tasks.start_soon(self._supervisor.run, name, run)
             # The default action of a signal that arrives during the stop would
             # end the process.
             with anyio.open_signal_receiver(
--- a/wigeonhatch/entry/store_follower.py
+++ b/wigeonhatch/entry/store_follower.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import supervision
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import table_follower
@@ -65,10 +66,24 @@
             for table, (on_snapshot, on_changes) in appliers_by_table.items()
         }
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Follow all tables until the tasks are cancelled."""
-        for follower in self._followers:
-            tasks.start_soon(follower.run)
+    def start(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        supervisor: supervision.Supervisor,
+    ) -> None:
+        """Follow all tables until the tasks are cancelled.
+
+        Args:
+            tasks: Tasks of the daemon.
+            supervisor: Starts a follower again after an error.
+        """
+        for table, follower in self._follower_by_table.items():
+            tasks.start_soon(
+                supervisor.run,
+                f'follower of {table}',
+                follower.run,
+                follower.forget,
+            )
 
     @property
     def is_connected(self) -> bool:
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -126,6 +126,10 @@
             else:
                 await self._follow_peers()
 
+    def forget(self) -> None:
+        """Read all rows again, as some may not have been applied."""
+        self.cache.version = None
+
     @property
     def followed_ms(self) -> int:
         """Time in ms for which this host has followed the store itself."""
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -80,6 +80,7 @@
         self._gauge_source: GaugeSource | None = None
         self._read_control_counters: ReadCounters | None = None
         self._read_selections: ReadSelections | None = None
+        self._read_task_errors: ReadCounters | None = None
         self._read_reach: collections.abc.Callable[[], bool] | None = None
         self._read_largest_shift: (
             collections.abc.Callable[[], float] | None
@@ -138,6 +139,14 @@
         """
         self._read_reach = read
 
+    def set_task_errors(self, read: ReadCounters) -> None:
+        """Set the counters of errors that ended a task to read.
+
+        Args:
+            read: Returns the number of errors by task.
+        """
+        self._read_task_errors = read
+
     def on_request(
         self,
         service: str,
@@ -222,6 +231,13 @@
                 'Whether the host can open connections to targets.',
                 value=int(self._read_reach()),
             )
+        if self._read_task_errors is not None:
+            yield _counter(
+                'wigeonhatch_task_errors',
+                'Unexpected errors after which a task was started again.',
+                'task',
+                self._read_task_errors(),
+            )
         violations = collections.Counter(self._violations)
         if self._gauge_source is not None:
             violations.update(self._gauge_source.violations())
--- a/wigeonhatch/peers/node.py
+++ b/wigeonhatch/peers/node.py
@@ -9,6 +9,7 @@
 import anyio
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import supervision
 from wigeonhatch.config import model
 from wigeonhatch.peers import channels as peer_channels
 from wigeonhatch.peers import config_gossip
@@ -104,6 +105,7 @@
         self._hooks = hooks
         self._list_version = 0
         self.counters = control_counters.ControlCounters()
+        self.supervisor = supervision.Supervisor(clock)
         self.membership = members.Membership(identity.host, clock)
         self.channels = peer_channels.PeerChannels(
             identity.host, identity.credential, clock
@@ -189,9 +191,12 @@
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self.channels.run)
-            group.start_soon(self.config_gossip.run)
-            group.start_soon(self.exchange.run)
-            group.start_soon(self.poller.run)
+            for name, run in (
+                ('configurations', self.config_gossip.run),
+                ('exchange', self.exchange.run),
+                ('polls', self.poller.run),
+            ):
+                group.start_soon(self.supervisor.run, name, run)
             await self.server.run(self._identity.peer_address, on_started)
 
     def _find_repeat_hosts(self) -> quarantines.HostView:
