Let the retry budget of a host start empty

Operators saw repeats that piled up beyond the agreed bound, which sums over all hosts and any 10 s.

Cause: the budget of each service started full, with the host's share of half of the slack, so that each restart of a host added it once more.

Change: it starts empty and is filled by requests alone. In any 10 s all hosts together send at most half of the slack and half of the ratio, whatever restarts.

Ruled out by reading: connections that fail (no arrival), shares of hosts that cannot hear each other (the share does not go by live hosts), forwarded requests (they take from the budget of the peer).

Whether this is what operators saw is not known.

--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -107,7 +107,7 @@
         if connection is None or not connection.is_available():
             if connection is not None:
                 await connection.aclose()
-            connection = _connect(address)
+            connection = connect(address)
         cancels_early = self._rng.random() < _CANCEL_FRACTION
         outcome = await send(
             self._fleet,
@@ -219,7 +219,7 @@
     path = f'/{kind}{crash_rule.DEADLY_PATH}{name}'
     for number in range(1_000_000):
         host = rng.choice(fleet.hosts)
-        connection = _connect(host.address(fleet.port('caller')))
+        connection = connect(host.address(fleet.port('caller')))
         await send(
             fleet,
             connection,
@@ -261,7 +261,7 @@
 
 
 async def _visit(fleet: fleets.Fleet, address: str, request_id: str) -> None:
-    connection = _connect(address)
+    connection = connect(address)
     await send(fleet, connection, request_id, 'read', '/read/visit')
     await connection.aclose()
 
@@ -276,7 +276,7 @@
         older = rng.choice(list(fleet.written_ms_by_version))
         for version in {newest, older}:
             sent_ms = fleet.clock.now_ms
-            connection = _connect(host.address(fleet.port('caller')))
+            connection = connect(host.address(fleet.port('caller')))
             outcome = await send(
                 fleet,
                 connection,
@@ -348,7 +348,7 @@
             fleet.ledger.fail('lookup', f'{source.name} lists {host.name}')
 
 
-def _connect(address: str) -> httpcore.AsyncHTTPConnection:
+def connect(address: str) -> httpcore.AsyncHTTPConnection:
     ip, _, port = address.rpartition(':')
     return httpcore.AsyncHTTPConnection(
         httpcore.Origin(b'http', ip.encode(), int(port))
@@ -365,7 +365,7 @@
 
 
 async def _get(address: str, path: str) -> bytes | None:
-    connection = _connect(address)
+    connection = connect(address)
     try:
         response = await connection.request(
             'GET',
--- a/wigeonhatch/entry/retry_share.py
+++ b/wigeonhatch/entry/retry_share.py
@@ -17,6 +17,9 @@
 ) -> retry.RetryBudget:
     """Build the budget of one service.
 
+    It starts empty, since what the host spent before a restart still counts
+    against the slack of the bounds.
+
     Args:
         read_bounds: Returns the present bounds agreed with the operators.
         count_hosts: Returns the number of hosts that share the retries.
@@ -29,4 +32,5 @@
     return retry.RetryBudget(
         int(read_bounds().retry_ratio * _USED_FRACTION * 100),
         count_burst_retries,
+        starts_full=False,
     )
--- a/wigeonhatch/requests/retry.py
+++ b/wigeonhatch/requests/retry.py
@@ -34,19 +34,21 @@
 
     Args:
         percent: Retries per 100 requests.
-        burst: Returns the capacity of the bucket in retries, which may change;
-            the bucket starts full.
+        burst: Returns the capacity of the bucket in retries, which may change.
+        starts_full: Whether the bucket is full at the start. If it is not,
+            restarts of the process add no retries.
     """
 
     def __init__(
         self,
         percent: int = RETRY_PERCENT,
         burst: collections.abc.Callable[[], int] = lambda: _BURST_RETRIES,
+        starts_full: bool = True,
     ) -> None:
         # Counted in hundredths of a retry, to avoid rounding.
         self._percent = percent
         self._burst = burst
-        self._tokens = burst() * _TOKEN_UNITS
+        self._tokens = burst() * _TOKEN_UNITS if starts_full else 0
 
     def on_request(self) -> None:
         """Add the fraction that one request of the service earns."""
