--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -8,6 +8,7 @@
 import random
 import signal
 
+from tests import processes
 from tests.faults import bounds
 from tests.faults import callers
 from tests.faults import fleet as fleets
@@ -16,9 +17,6 @@
 from tests.faults import target as targets
 from wigeonhatch.standins import row_store
 
-_SIGNAL_HANDLER_DELAY_MS = 3_000
-"""Time after a start until the daemon certainly handles SIGHUP."""
-
 Event = collections.abc.Callable[
     [fleets.Fleet, random.Random], collections.abc.Coroutine[None, None, None]
 ]
@@ -78,7 +76,8 @@
     """Change the settings of a daemon and send SIGHUP."""
     host = rng.choice(fleet.hosts)
     fleet.write_settings(host, rng.choice(('INFO', 'DEBUG')))
-    if fleet.clock.now_ms - host.started_ms > _SIGNAL_HANDLER_DELAY_MS:
+    # Before the interpreter runs, no program can handle a signal.
+    if host.process and processes.catches(host.process.pid, signal.SIGHUP):
         fleet.send_signal(host, signal.SIGHUP)
 
 
@@ -286,6 +285,31 @@
             host.set_links('')
 
 
+async def cut_peers(
+    fleet: fleets.Fleet, rng: random.Random, seconds: float
+) -> None:
+    """Cut the links between two groups of hosts, one way or both ways.
+
+    Their links to the store stay, so that they have to keep the time bounds.
+    """
+    end_ms = fleet.clock.now_ms + seconds * 1_000
+    while fleet.clock.now_ms < end_ms:
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        count = rng.randint(1, len(fleet.hosts) - 1)
+        group = rng.sample(fleet.hosts, count)
+        others = [host for host in fleet.hosts if host not in group]
+        duration_s = rng.uniform(0.5, 6.0)
+        _disturb_host(fleet, None, duration_s)
+        for host in group:
+            host.cut_peers([other.ip for other in others])
+        if rng.random() < 0.5:
+            for host in others:
+                host.cut_peers([other.ip for other in group])
+        await asyncio.sleep(duration_s)
+        for host in fleet.hosts:
+            host.cut_peers([])
+
+
 async def restore_store(
     fleet: fleets.Fleet, rng: random.Random, seconds: float
 ) -> None:
@@ -335,10 +359,11 @@
 
 
 def _disturb_host(
-    fleet: fleets.Fleet, host: fleets.Host, duration_s: float
+    fleet: fleets.Fleet, host: fleets.Host | None, duration_s: float
 ) -> None:
     now_ms = fleet.clock.now_ms
-    fleet.disturb((host.name,), now_ms, now_ms + int(duration_s * 1_000))
+    names = () if host is None else (host.name,)
+    fleet.disturb(names, now_ms, now_ms + int(duration_s * 1_000))
 
 
 def kill(fleet: fleets.Fleet, host: fleets.Host) -> None:
--- a/tests/faults/host.py
+++ b/tests/faults/host.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import collections.abc
+import json
 import pathlib
 import subprocess
 
 from tests.faults import links
+from tests.faults import peer_links
 from tests.faults import proxy as proxies
 
 REGION_BY_DOMAIN = {'a': 'north', 'b': 'north', 'c': 'south', 'd': 'south'}
@@ -32,6 +35,11 @@
         """Cut the links to all targets, or heal them if there is no mode."""
         self.settings_path.with_suffix(links.SUFFIX).write_text(mode)
 
+    def cut_peers(self, ips: collections.abc.Collection[str]) -> None:
+        """Let nothing arrive from the daemons at some addresses."""
+        path = self.settings_path.with_suffix(peer_links.SUFFIX)
+        path.write_text(json.dumps(sorted(ips)))
+
     def address(self, port: int) -> str:
         """Return the `IP:PORT` of a port on this host."""
         return f'{self.ip}:{port}'
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -131,6 +131,9 @@
                     events.lose_target_links(
                         fleet, random.Random(f'{seed}/links'), seconds
                     ),
+                    events.cut_peers(
+                        fleet, random.Random(f'{seed}/peers'), seconds
+                    ),
                 ]
             ),
             *(fleet.restart_on_exit(host) for host in fleet.hosts),
--- a/tests/faults/skewed.py
+++ b/tests/faults/skewed.py
@@ -10,6 +10,7 @@
 import time
 
 from tests.faults import links
+from tests.faults import peer_links
 
 _NS_PER_MS = 1_000_000
 
@@ -20,6 +21,7 @@
     original_time_ns = time.time_ns
     time.time_ns = lambda: original_time_ns() + offset_ns
     links.install(sys.argv[-1])
+    peer_links.install(sys.argv[-1])
     sys.argv[:2] = ['wigeonhatch']
     runpy.run_module('wigeonhatch', run_name='__main__')
 
