Leave an ignored SIGHUP ignored

Cause: recording SIGHUP replaced the setting of nohup, and commands that are no daemons then got the default action back.

Change: only the default action is replaced.

Result: test_ignored_signal_stays_ignored failed before.

--- a/tests/entry/test_edge_signals.py
+++ b/tests/entry/test_edge_signals.py
@@ -21,9 +21,9 @@
 
 
 @pytest.fixture(autouse=True)
-def restored_handler() -> collections.abc.Iterator[None]:
-    """Restore the handler of SIGHUP after a test."""
-    handler = signal.getsignal(signal.SIGHUP)
+def default_handler() -> collections.abc.Iterator[None]:
+    """Begin with the default action; restore the handler after a test."""
+    handler = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     yield
     signal.signal(signal.SIGHUP, handler)
 
@@ -61,6 +61,14 @@
     assert reloads == ['reload', 'reload']
 
 
+def test_ignored_signal_stays_ignored() -> None:
+    """Guards against a command that ends although it runs under `nohup`."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    pending_signals.hold()
+    pending_signals.release()
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+
+
 def test_other_commands_keep_the_default_action() -> None:
     """Guards against a command that outlives its terminal."""
     pending_signals.hold()
--- a/wigeonhatch/pending_signals.py
+++ b/wigeonhatch/pending_signals.py
@@ -11,8 +11,9 @@
 
 
 def hold() -> None:
-    """Record SIGHUP from now on."""
-    signal.signal(signal.SIGHUP, _record)
+    """Record SIGHUP from now on, unless the process ignores it."""
+    if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
+        signal.signal(signal.SIGHUP, _record)
 
 
 def release() -> None:
