Date the last call also when a host turns from its peers to the store

Callers could still be sent to targets that had left: a host that follows its peers after an outage and gets no response from them calls the store at once. It discarded the time of its last call for that, so that the pause since the outage counted as a part of it and started a grace period.

Change: a flag requests the call; the time of the last one stays.

--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -338,6 +338,28 @@
     anyio.run(scenario)
 
 
+def test_call_after_peers_failed_ends_no_outage() -> None:
+    """Guards against a grace period when a host turns from peers to the store.
+
+    The host follows its peers after an outage until they do not respond.
+    """
+
+    async def scenario() -> None:
+        harness = _FollowerHarness()
+        await harness.run_for()
+        harness.store.is_down = True
+        await harness.run_for()
+        harness.store.is_down = False
+        harness.is_reader = False
+        harness.clock.advance(table_follower.MAX_OUTAGE_GAP_MS + 1)
+        version = harness.store.rows.put('op', 'b', {})
+        await _run_as_non_reader(harness, [version])
+        assert harness.changes == [('b', False)]
+        assert harness.outages_ms == []
+
+    anyio.run(scenario)
+
+
 def test_outages_on_both_sides_of_a_pause_are_two() -> None:
     """Guards against a probe in an outage that counts the time before it."""
 
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -112,6 +112,7 @@
         self._down_since_ms: int | None = None
         self._refreshed_ms = clock.now_ms
         self._last_call_ms: int | None = None
+        self._has_failed_peers = False
         self._followed_since_ms: int | None = None
         self._call: anyio.CancelScope | None = None
         self._peer_change = anyio.Event()
@@ -162,6 +163,7 @@
     def _is_call_due(self) -> bool:
         return (
             self._last_call_ms is None
+            or self._has_failed_peers
             or self.cache.version is None
             or self._clock.now_ms - self._last_call_ms >= PROBE_INTERVAL_MS
             or self._is_reader()
@@ -173,6 +175,7 @@
             has_response = await self._poll()
         self._call = None
         self._last_call_ms = self._clock.now_ms
+        self._has_failed_peers = False
         if not has_response and not await self._update_from_peer():
             ceiling_ms = min(
                 MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << min(self._failures, 8)
@@ -194,7 +197,7 @@
         self._peer_change = anyio.Event()
         is_behind = self._peer_version > (self.cache.version or 0)
         if is_behind and not await self._update_from_peer():
-            self._last_call_ms = None
+            self._has_failed_peers = True
 
     async def _poll(self) -> bool:
         started_ms = self._clock.now_ms
