--- a/tests/entry/test_catalog.py
+++ b/tests/entry/test_catalog.py
@@ -129,6 +129,18 @@
     assert harness.names == {'t1'}
 
 
+def test_target_that_returns_after_the_grace_period_is_kept() -> None:
+    """Guards against a live target that is removed with the missing ones."""
+    harness = _CatalogHarness()
+    harness.catalog.on_target_snapshot([target_row('t0'), target_row('t1')])
+    harness.catalog.on_store_recovered(catalogs.MIN_OUTAGE_MS + 1)
+    harness.catalog.on_target_changes([deleted_row('t0')])
+    harness.clock.advance(catalogs.RECOVERY_GRACE_MS)
+    harness.catalog.on_target_snapshot([target_row('t0'), target_row('t1')])
+    harness.catalog.expire_holds()
+    assert harness.names == {'t0', 't1'}
+
+
 def test_short_outage_starts_no_grace_period() -> None:
     """Guards against using targets that have left."""
     harness = _CatalogHarness()
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -88,8 +88,8 @@
         missing_records = [
             self._targets.record_by_name[name] for name in missing
         ]
-        if self._is_in_grace():
-            self._missing_targets = set(missing)
+        self._missing_targets = set(missing) if self._is_in_grace() else set()
+        if self._missing_targets:
             records.extend(missing_records)
         elif not self._hold.is_active:
             self._hold.on_left(missing_records)
