Start without the metrics if their port is in use

Operators saw a system that did not start. edge ended at its start, and again after each restart, if another process had the port of its metrics.

Cause: the port is the same on every host and installation, unlike the ports that are given as free, and uvicorn ends the process if it cannot bind an address. No request depends on the metrics.

Change: that server is optional; the daemon logs "interface not served" and goes on. The other interfaces still end the process, which is then restarted.

Result: test_metrics_port_in_use_ends_no_daemon failed before. Whether this is what operators saw is not known.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import signal
+import socket
 import time
 
 import anyio
@@ -269,6 +270,22 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+def test_metrics_port_in_use_ends_no_daemon(tmp_path: pathlib.Path) -> None:
+    """Guards against a daemon that does not start without its metrics."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        settings = json.loads(deployment.settings_path.read_text())
+        with socket.create_server(('127.0.0.1', settings['metrics_port'])):
+            edge = await deployment.start()
+            status, _ = await deployment.call(deployment.port, '/r/a')
+            assert status == 200
+            assert edge.poll() is None
+            edge.send_signal(signal.SIGTERM)
+            assert await anyio.to_thread.run_sync(edge.wait) == 0
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_signal_at_the_start_ends_no_daemon(tmp_path: pathlib.Path) -> None:
     """Guards against SIGHUP that ends a daemon which still starts."""
 
--- a/wigeonhatch/entry/edge_servers.py
+++ b/wigeonhatch/entry/edge_servers.py
@@ -42,7 +42,6 @@
         settings.readiness_address,
         settings.directory_address,
         settings.peer_address,
-        f'{settings.ip}:{settings.metrics_port}',
     )
     return [
         *request_servers,
@@ -50,4 +49,9 @@
             http_server.build_server(directory_application, address)
             for address in addresses
         ),
+        http_server.build_server(
+            directory_application,
+            f'{settings.ip}:{settings.metrics_port}',
+            is_optional=True,
+        ),
     ]
--- a/wigeonhatch/entry/http_server.py
+++ b/wigeonhatch/entry/http_server.py
@@ -4,6 +4,8 @@
 
 import collections.abc
 import contextlib
+import logging
+import socket
 import typing
 
 import uvicorn
@@ -11,6 +13,7 @@
 from wigeonhatch import settings as settings_module
 
 _KEEP_ALIVE_S = 30
+_LOG = logging.getLogger(__name__)
 
 
 class HttpServer(uvicorn.Server):
@@ -26,12 +29,37 @@
         yield
 
 
-def build_server(app: typing.Any, address: str) -> HttpServer:
+class OptionalServer(HttpServer):
+    """Serve an interface without which the daemon can do its work.
+
+    uvicorn ends the process if an address cannot be bound.
+    """
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve until `should_exit` is set; return if that is impossible."""
+        try:
+            await super().serve(sockets)
+        except SystemExit:
+            _LOG.error(
+                'interface not served',
+                extra={
+                    'event_fields': {
+                        'address': f'{self.config.host}:{self.config.port}'
+                    }
+                },
+            )
+
+
+def build_server(
+    app: typing.Any, address: str, is_optional: bool = False
+) -> HttpServer:
     """Build a server for one interface.
 
     Args:
         app: ASGI application.
         address: `IP:PORT` to listen on.
+        is_optional: Whether the daemon runs without it if the address cannot
+            be bound.
 
     Returns:
         A server; `serve()` runs it until `should_exit` is set.
@@ -50,4 +78,4 @@
         date_header=False,
         timeout_keep_alive=_KEEP_ALIVE_S,
     )
-    return HttpServer(config)
+    return OptionalServer(config) if is_optional else HttpServer(config)
