--- a/tests/entry/test_edge_signals.py
+++ b/tests/entry/test_edge_signals.py
@@ -24,6 +24,8 @@
 def default_handler() -> collections.abc.Iterator[None]:
     """Begin with the default action; restore the handler after a test."""
     handler = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    pending_signals.release()
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     yield
     signal.signal(signal.SIGHUP, handler)
 
@@ -44,6 +46,17 @@
     assert reloads == ['reload']
 
 
+def test_daemon_hears_an_ignored_signal() -> None:
+    """Guards against a daemon under `nohup` that misses a reload."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    pending_signals.hold()
+    pending_signals.hold()
+    os.kill(os.getpid(), signal.SIGHUP)
+    assert pending_signals.take()
+    pending_signals.release()
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+
+
 def test_error_of_a_reload_does_not_end_the_daemon() -> None:
     """Guards against settings that end the daemon on SIGHUP."""
     reloads: list[str] = []
--- a/wigeonhatch/pending_signals.py
+++ b/wigeonhatch/pending_signals.py
@@ -6,20 +6,23 @@
 from __future__ import annotations
 
 import signal
+import typing
 
 _pending: list[int] = []
+_replaced: list[typing.Any] = []
 
 
 def hold() -> None:
-    """Record SIGHUP from now on, unless the process ignores it."""
-    if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
-        signal.signal(signal.SIGHUP, _record)
+    """Record SIGHUP from now on, also if it was ignored."""
+    previous = signal.signal(signal.SIGHUP, _record)
+    if previous is not _record:
+        _replaced.append(previous)
 
 
 def release() -> None:
-    """Restore the default action, for commands that are no daemons."""
-    if signal.getsignal(signal.SIGHUP) is _record:
-        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    """Restore what `hold` has replaced, for commands that are no daemons."""
+    if _replaced:
+        signal.signal(signal.SIGHUP, _replaced.pop())
 
 
 def take() -> bool:
