Name the request in refusals before its route is known

Refusals for want of a route or a configuration had an empty request id in the log and in the body, since the id was read after the route had been found. The id is read first now.

Test: test_refusal_of_an_unknown_route_names_the_request failed before.

--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import json
 import typing
 
 import anyio
@@ -143,6 +144,12 @@
     assert Call(RELAYED, version=0).run().status == 503
 
 
+def test_refusal_of_an_unknown_route_names_the_request() -> None:
+    """Guards against refusals that no log line can be found for."""
+    call = Call(RELAYED, '/b').run()
+    assert json.loads(call.body)['request_id'] == 'r1'
+
+
 def test_stopping_host_closes_and_then_refuses() -> None:
     """Guards against connections that stay open to a stopping host."""
     call = Call(RELAYED)
--- a/wigeonhatch/platform/messages.py
+++ b/wigeonhatch/platform/messages.py
@@ -28,6 +28,11 @@
     affinity_key: bytes
     timeout_ms: int | None
 
+    @property
+    def id_text(self) -> str:
+        """Request ID as text, for the log and refusals."""
+        return self.request_id.decode('ascii', 'replace')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetFields:
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -126,7 +126,10 @@
         reply = _asgi.AsgiReply(send, scope['method'] == 'HEAD')
         control = model.RequestControl()
         header_by_name = dict(scope['headers'])
-        request = self._parse_head(scope, header_by_name, received_ms)
+        caller_fields = messages.read_caller_fields(header_by_name)
+        request = self._parse_head(
+            scope, header_by_name, caller_fields, received_ms
+        )
         length: int | outcome.Failure = 0
         result: relay_model.Response | relay_model.Refusal
         if isinstance(request, outcome.Failure):
@@ -139,8 +142,9 @@
                 length, receive, request, reply, control
             )
         if control.cause is not codes.ResultCode.CALLER_GONE:
-            await self._respond(reply, request, result)
+            await self._respond(reply, caller_fields.id_text, result)
         self._report(
+            caller_fields.id_text,
             request,
             result,
             received_ms,
@@ -193,6 +197,7 @@
         self,
         scope: _asgi.Scope,
         header_by_name: dict[bytes, bytes],
+        caller_fields: messages.CallerFields,
         received_ms: int,
     ) -> relay_model.RelayRequest | outcome.Failure:
         config = self._routes.config
@@ -217,7 +222,6 @@
             route = dataclasses.replace(
                 route, max_attempts=limits.attempts_left
             )
-        caller_fields = messages.read_caller_fields(header_by_name)
         timeout_ms = caller_fields.timeout_ms or DEFAULT_DEADLINE_MS
         if route.timeout_ms:
             timeout_ms = min(timeout_ms, route.timeout_ms)
@@ -246,7 +250,7 @@
     async def _respond(
         self,
         reply: _asgi.AsgiReply,
-        request: relay_model.RelayRequest | outcome.Failure,
+        request_id: str,
         result: relay_model.Response | relay_model.Refusal,
     ) -> None:
         headers: list[tuple[bytes, bytes]]
@@ -257,11 +261,6 @@
                 (b'content-length', b'%d' % len(body)),
             ]
         else:
-            request_id = (
-                request.id_text
-                if isinstance(request, relay_model.RelayRequest)
-                else ''
-            )
             _, headers, body = _replies.render_refusal(
                 result.failure, request_id
             )
@@ -283,16 +282,16 @@
 
     def _report(
         self,
+        request_id: str,
         request: relay_model.RelayRequest | outcome.Failure,
         result: relay_model.Response | relay_model.Refusal,
         received_ms: int,
         request_bytes: int,
     ) -> None:
         elapsed_ms = self._clock.now_ms - received_ms
-        service = region = request_id = route = ''
+        service = region = route = ''
         if isinstance(request, relay_model.RelayRequest):
             service, route = request.service, request.route.name
-            request_id = request.id_text
         if isinstance(result, relay_model.Response):
             region = self._find_region(result.target)
             self._on_finished(
