Log what a target states of itself in each attempt

The fields are decoded in platform/messages.py: Server-Leaving, and Retry-After of a 503 as seconds or as a date, which is compared with the Date of the same response. Nothing acts on the fields yet.

--- a/wigeonhatch/platform/messages.py
+++ b/wigeonhatch/platform/messages.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from wigeonhatch.platform import _retry_after
 from wigeonhatch.platform import names
 
 Headers = collections.abc.Iterable[tuple[bytes, bytes]]
 _MAX_DEADLINE_DIGITS = 9
+_UNAVAILABLE = 503
+_MAX_LOGGED_BYTES = 80
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +49,12 @@
         warmup_left_ms: Remaining warm-up time; 0 if not reported.
         max_rate_per_s: Requests per second that the target accepts from all
             hosts together; None if it states no limit.
+        is_leaving: Whether the target states that it shuts down. It accepts
+            no new requests, from any host, for the rest of its incarnation.
+        pause_ms: Time for which a target that refuses a request asks this
+            host for no others, in ms; 0 if it does not.
+        unusable: Name and value of a field that cannot be read, for the log;
+            empty if there is none.
     """
 
     request_id: bytes
@@ -54,6 +63,9 @@
     load: tuple[int, int, int] | None
     warmup_left_ms: int
     max_rate_per_s: float | None
+    is_leaving: bool = False
+    pause_ms: int = 0
+    unusable: str = ''
 
 
 def read_caller_fields(by_name: dict[bytes, bytes]) -> CallerFields:
@@ -69,13 +81,21 @@
     )
 
 
-def read_target_fields(headers: Headers) -> TargetFields:
+def read_target_fields(headers: Headers, status: int) -> TargetFields:
     """Read the header fields of a target's response.
 
     Args:
         headers: Pairs of a name in lower case and a value.
+        status: HTTP status of the response.
     """
     by_name = dict(headers)
+    retry_after = by_name.get(names.RETRY_AFTER)
+    pause_ms: int | None = 0
+    if status == _UNAVAILABLE and retry_after is not None:
+        pause_ms = _retry_after.parse_ms(retry_after, by_name.get(names.DATE))
+    unusable = b''
+    if retry_after is not None and pause_ms is None:
+        unusable = b'%b: %b' % (names.RETRY_AFTER, retry_after)
     return TargetFields(
         by_name.get(names.REQUEST_ID, b''),
         names.NOT_RUN in by_name,
@@ -83,6 +103,9 @@
         _parse_load(by_name.get(names.LOAD_REPORT)),
         _parse_digits(by_name.get(names.WARMUP_LEFT_MS)) or 0,
         _parse_rate(by_name.get(names.RATE_LIMIT)),
+        by_name.get(names.LEAVING, b'0').strip() != b'0',
+        pause_ms or 0,
+        unusable[:_MAX_LOGGED_BYTES].decode('ascii', 'replace'),
     )
 
 
--- a/wigeonhatch/platform/names.py
+++ b/wigeonhatch/platform/names.py
@@ -22,6 +22,8 @@
 LOAD_REPORT = b'server-load'
 RATE_LIMIT = b'server-limit'
 WARMUP_LEFT_MS = b'warmup-ms'
+LEAVING = b'server-leaving'
+DATE = b'date'
 STORE_ERA = b'store-era'
 
 READINESS_PATH = '/readiness'
--- a/wigeonhatch/requests/_attempt_log.py
+++ b/wigeonhatch/requests/_attempt_log.py
@@ -65,6 +65,8 @@
         slots=target.slots,
         cold=is_cold,
         rate_limit=history.rate_limit_per_s,
+        leaving=history.states_departure,
+        pause_ms=history.pause_ms,
         left_ms=request.deadline_ms - times.started_ms,
         took_ms=times.elapsed_ms,
         result=(
--- a/wigeonhatch/requests/_exchange.py
+++ b/wigeonhatch/requests/_exchange.py
@@ -57,7 +57,9 @@
     if isinstance(send_result, outcome.Failure):
         return send_result
     response = send_result.value
-    target_fields = messages.read_target_fields(response.headers)
+    target_fields = messages.read_target_fields(
+        response.headers, response.status
+    )
     if response.status != _MISDIRECTED:
         # The fields of a misdirected response describe another target.
         on_response_head(target_fields)
--- a/wigeonhatch/requests/peer_forwarder.py
+++ b/wigeonhatch/requests/peer_forwarder.py
@@ -189,7 +189,7 @@
         try:
             result = await _exchange.read_complete(
                 response,
-                messages.read_target_fields(response.headers),
+                messages.read_target_fields(response.headers, response.status),
                 '',
                 buffer,
             )
--- a/wigeonhatch/requests/relay_model.py
+++ b/wigeonhatch/requests/relay_model.py
@@ -128,6 +128,18 @@
         fields = self.target_fields
         return None if fields is None else fields.max_rate_per_s
 
+    @property
+    def states_departure(self) -> bool:
+        """Whether the target stated in the last response that it leaves."""
+        fields = self.target_fields
+        return fields is not None and fields.is_leaving
+
+    @property
+    def pause_ms(self) -> int:
+        """Time without requests that the last response asked for, in ms."""
+        fields = self.target_fields
+        return 0 if fields is None else fields.pause_ms
+
     def record(
         self, result: Response | outcome.Failure, route: routes.Route
     ) -> Response | None:
