Let targets of the soak state that they leave or want no requests

The targets of tests/faults can state both now, and StatementRule checks the requests of each host: none sent more than 2.5 s after the host has passed on a departure, and at most two in the rest of a pause, from half a second after it was asked for.

The tests run seven real daemons while some or all targets of each service state one of the two and their rows stay ready.

--- a/tests/faults/bounds.py
+++ b/tests/faults/bounds.py
@@ -34,6 +34,10 @@
 informed hosts: rate * factor * window + slack."""
 RATE_NOTICE_MS = 500
 """Time from the response that informs a host until its requests count."""
+PAUSE_NOTICE_MS = 500
+"""Time from the response that asks for a pause until requests count."""
+MAX_PAUSED = 2
+"""Maximum requests of a host in the rest of the pause."""
 FREE_CRASHES = 3
 MAX_LATE_SENDS = 3
 """Maximum sends of a request, later than the convergence time after it has
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -191,6 +191,10 @@
         status = response.status
         signature = fields.get(b'response-signature', '')
         body = response.content
+        if b'server-leaving' in fields:
+            ledger.statement_rule.on_departure(
+                fields[b'instance-id'], name, clock.now_ms
+            )
     except _DISCONNECT_ERRORS:
         reason = 'reset'
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -14,6 +14,7 @@
 from tests.faults import fleet as fleets
 from tests.faults import ledger as ledgers
 from tests.faults import links
+from tests.faults import statement_rule
 from tests.faults import target as targets
 from wigeonhatch.standins import row_store
 
@@ -66,7 +67,7 @@
     """Suspend a daemon for a while."""
     host = rng.choice(fleet.hosts)
     duration_s = rng.uniform(0.3, 4.0)
-    _disturb_host(fleet, host, duration_s)
+    _disturb_host(fleet, host, duration_s, statement_rule.process_of)
     fleet.send_signal(host, signal.SIGSTOP)
     await asyncio.sleep(duration_s)
     fleet.send_signal(host, signal.SIGCONT)
@@ -278,7 +279,7 @@
         cut = rng.sample(fleet.hosts, rng.randint(1, len(fleet.hosts) // 2))
         duration_s = rng.uniform(0.5, 6.0)
         for host in cut:
-            _disturb_host(fleet, host, duration_s)
+            _disturb_host(fleet, host, duration_s, statement_rule.links_of)
             host.set_links(rng.choice(links.MODES))
         await asyncio.sleep(duration_s)
         for host in cut:
@@ -359,10 +360,14 @@
 
 
 def _disturb_host(
-    fleet: fleets.Fleet, host: fleets.Host | None, duration_s: float
+    fleet: fleets.Fleet,
+    host: fleets.Host | None,
+    duration_s: float,
+    name_part: collections.abc.Callable[[str], str] = str,
 ) -> None:
+    """Record a disturbance of a host, and of the named part of it."""
     now_ms = fleet.clock.now_ms
-    names = () if host is None else (host.name,)
+    names = () if host is None else (host.name, name_part(host.name))
     fleet.disturb(names, now_ms, now_ms + int(duration_s * 1_000))
 
 
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -18,6 +18,7 @@
 from tests.faults import host as hosts
 from tests.faults import ledger as ledgers
 from tests.faults import proxy as proxies
+from tests.faults import statement_rule
 from tests.faults import target as targets
 from wigeonhatch import clock as clocks
 from wigeonhatch.standins import row_store
@@ -142,7 +143,9 @@
     def spawn(self, host: Host) -> None:
         """Start the daemon of a host."""
         now_ms = self.clock.now_ms
-        self.disturb((host.name,), now_ms, now_ms)
+        self.disturb(
+            (host.name, statement_rule.process_of(host.name)), now_ms, now_ms
+        )
         host.down_since_ms = None
         host.started_ms = now_ms
         host.incarnation += 1
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -11,6 +11,7 @@
 from tests.faults import bounds
 from tests.faults import crash_rule
 from tests.faults import rate_rule
+from tests.faults import statement_rule
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 STORE = 'store'
@@ -154,6 +155,7 @@
         self.warmup_end_ms_by_target: dict[str, int] = {}
         self.rate_rule = rate_rule.RateRule()
         self.crash_rule = crash_rule.CrashRule()
+        self.statement_rule = statement_rule.StatementRule(self.disturbances)
         self._arrivals: dict[str, list[tuple[int, str]]] = (
             collections.defaultdict(list)
         )
@@ -185,6 +187,14 @@
             violation = self.rate_rule.on_arrival(target, request.host, now_ms)
             if violation:
                 self.fail('rate', violation)
+        violation = self.statement_rule.on_arrival(
+            target, request.host, request.sent_ms, now_ms
+        )
+        if violation:
+            self.fail(
+                'statement',
+                f'{request_id} by {request.host} at {target}: {violation}',
+            )
         has_converged = self.disturbances.has_converged(request.host, now_ms)
         if has_converged:
             violation = self.crash_rule.on_arrival(request.content, now_ms)
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -72,7 +72,10 @@
         self.proxy = proxy
         self.faults = Faults()
         self.is_draining = False
+        self.is_departure_stated = False
+        self.retry_after = ''
         self.rate_limit_per_s: float | None = None
+        self._pause_ms = 0
         self.started_ms = clock.now_ms
         self._ledger = ledger
         self._clock = clock
@@ -101,6 +104,16 @@
         self.rate_limit_per_s = None
         self._ledger.rate_rule.end(self.name)
 
+    def ask_for_pause(self, retry_after: str, pause_ms: int) -> None:
+        """Refuse all requests from now on and ask each host for a pause.
+
+        Args:
+            retry_after: Value of the field `Retry-After`.
+            pause_ms: Pause that it means, in ms.
+        """
+        self.retry_after = retry_after
+        self._pause_ms = pause_ms
+
     def close(self) -> None:
         """Stop immediately and abort all connections."""
         if self._server is not None:
@@ -151,7 +164,7 @@
             await self._reply(writer, 421, request_id, b'', 'Not-Executed: 1')
             return True
         self._ledger.on_arrival(request_id, self.name, self._clock.now_ms)
-        if self._queued >= MAX_QUEUED:
+        if self.retry_after or self._queued >= MAX_QUEUED:
             await self._reply(writer, 503, request_id, b'', 'Not-Executed: 1')
             return True
         run = asyncio.ensure_future(
@@ -217,7 +230,7 @@
         )
 
     async def _report_health(self, writer: asyncio.StreamWriter) -> bool:
-        is_ready = not self.is_draining
+        is_ready = not (self.is_draining or self.is_departure_stated)
         if self.faults.is_health_inverted:
             is_ready = not is_ready
         return await self._reply(
@@ -225,7 +238,7 @@
             200 if is_ready else 503,
             '',
             b'',
-            f'Instance-Id: {self.name}',
+            'Content-Type: text/plain',
         )
 
     async def _reply(
@@ -237,15 +250,25 @@
         field: str,
         corruption: str = '',
     ) -> bool:
+        request = self._ledger.request_by_id.get(request_id)
+        now_ms = self._clock.now_ms
         if self.rate_limit_per_s is not None:
             field += f'\r\nServer-Limit: {self.rate_limit_per_s}'
-            request = self._ledger.request_by_id.get(request_id)
             if request is not None:
                 self._ledger.rate_rule.on_response(
-                    self.name, request.host, self._clock.now_ms
+                    self.name, request.host, now_ms
+                )
+        if self.retry_after and status == 503:
+            field += f'\r\nRetry-After: {self.retry_after}'
+            if request is not None:
+                self._ledger.statement_rule.on_pause(
+                    self.name, request.host, now_ms, self._pause_ms
                 )
+        if self.is_departure_stated:
+            field += '\r\nServer-Leaving: 1\r\nConnection: close'
         head = (
             f'HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{field}\r\n'
+            f'Instance-Id: {self.name}\r\n'
             f'Server-Load: {self._running},{self._queued},{SLOTS}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode()
