Send no requests to targets that state that they leave

Callers saw their requests served by targets that had said they leave, up to 698 cases on a deployment: such a target may end while it runs them.

Cause: a target says Server-Leaving in all its responses, and nothing read it. Only the row of the target counted, which may say so later or never.

Change: DepartureTable keeps the incarnations that leave, from responses of any status to any request, and TargetRegistry treats them as draining, so that no ranking, split, trial or probe can lead to them. StatementTable is the home of what targets state, with the rate limits, which share the 20 statements of a datagram with departures. Peers learn of departures; older builds ignore the new field at the end of a state. New: lines 'target leaves', subjects in explain, the gauge unavailable_targets.

--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -10,8 +10,8 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import rate_budget
-from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
+from wigeonhatch.balance import statements
 from wigeonhatch.balance import warmup
 from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine
@@ -76,7 +76,8 @@
             lambda: quarantine.HostView(frozenset(hosts), frozenset(hosts)),
             self.clock,
         )
-        self.limits = rate_limits.RateLimitTable(self.clock)
+        self.statements = statements.StatementTable(self.targets, self.clock)
+        self.limits = self.statements.rate_limits
         self.rates = rate_budget.RateBudget(
             'h1',
             self.limits,
--- a/tests/balance/region_simulation.py
+++ b/tests/balance/region_simulation.py
@@ -84,7 +84,7 @@
         clock = site.clock
         hosts = frozenset({host.name})
         self.host = host
-        self.targets = registry.TargetRegistry(clock)
+        self.targets = host.targets
         services = {name: harnesses.SERVICE_CONFIG for name in MIX}
         self.targets.set_services(services)
         self.targets.replace(site.listed_targets())
--- a/tests/balance/simulation.py
+++ b/tests/balance/simulation.py
@@ -15,12 +15,13 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import rate_budget
-from wigeonhatch.balance import rate_limits
+from wigeonhatch.balance import statements
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.peers import region_fractions
 from wigeonhatch.peers import state_link
 from wigeonhatch.requests import quarantine
+from wigeonhatch.targets import registry
 
 REGION_BY_DOMAIN = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b', 'c1': 'c'}
 DOMAINS = tuple(REGION_BY_DOMAIN)
@@ -46,7 +47,11 @@
         self.frozen_until_ms = 0
         self.muted: frozenset[str] = frozenset()
         self.loads = loads.LoadTable(simulation.clock)
-        self.limits = rate_limits.RateLimitTable(simulation.clock)
+        self.targets = registry.TargetRegistry(simulation.clock)
+        self.statements = statements.StatementTable(
+            self.targets, simulation.clock
+        )
+        self.limits = self.statements.rate_limits
         self.quarantine = quarantine.QuarantineTable(
             self.name,
             lambda: self.fleet.selector.find_repeat_hosts(),
@@ -72,7 +77,7 @@
             settings,
             typing.cast(typing.Any, None),
             self.loads,
-            self.limits,
+            self.statements,
             self.quarantine,
             lambda: state_link.HostReport(
                 True,
--- a/tests/balance/test_rate_limits.py
+++ b/tests/balance/test_rate_limits.py
@@ -6,9 +6,11 @@
 
 from tests.balance import harness as harnesses
 from wigeonhatch import clock as clocks
+from wigeonhatch.balance import _rotation
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import rate_limits
 
+MAX_STATEMENTS = 20
 TARGET = harnesses.build_target('t1')
 
 
@@ -65,9 +67,9 @@
     """Guards against a restarted host that learns of no limit."""
     table, clock = build_table()
     table.on_report([rate_limits.RateStatement('t1', 1, 3.0, 0)])
-    assert table.build_report() == ()
+    assert table.build_report(MAX_STATEMENTS) == ()
     clock.advance(2_100)
-    report = table.build_report()
+    report = table.build_report(MAX_STATEMENTS)
     assert report == (rate_limits.RateStatement('t1', 1, 3.0, 2_100),)
 
 
@@ -79,10 +81,10 @@
         table.on_response(harnesses.build_target(name), 1.0)
     reported: set[str] = set()
     for _ in range(10):
-        report = table.build_report()
-        assert len(report) <= rate_limits.MAX_STATEMENTS
+        report = table.build_report(MAX_STATEMENTS)
+        assert len(report) <= MAX_STATEMENTS
         reported |= {statement.target for statement in report}
-        clock.advance(rate_limits.ROTATION_MS)
+        clock.advance(_rotation.INTERVAL_MS)
     assert reported == names
 
 
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -7,11 +7,13 @@
 import anyio
 import msgspec
 
+from tests.balance import harness as harnesses
 from tests.entry import fake_store
 from wigeonhatch import clock as clocks
+from wigeonhatch.balance import departures as departure_tables
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import rate_budget
-from wigeonhatch.balance import rate_limits
+from wigeonhatch.balance import statements
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.peers import readers
@@ -21,6 +23,7 @@
 from wigeonhatch.platform import store as stores
 from wigeonhatch.requests import quarantine
 from wigeonhatch.standins import row_store
+from wigeonhatch.targets import registry
 
 BOUNDS = edge_settings.Bounds('6s', 0.2, 60.0, '5s')  # type: ignore
 SETTINGS = edge_settings.EdgeSettings(
@@ -51,7 +54,9 @@
         self.peer_changes: list[dict[str, int]] = []
         self.clock = clocks.ManualClock()
         self.loads = loads.LoadTable(self.clock)
-        self.limits = rate_limits.RateLimitTable(self.clock)
+        self.targets = registry.TargetRegistry(self.clock)
+        self.statements = statements.StatementTable(self.targets, self.clock)
+        self.limits = self.statements.rate_limits
         self.quarantine = quarantine.QuarantineTable(
             'h1', lambda: self.fleet.selector.find_repeat_hosts(), self.clock
         )
@@ -59,7 +64,7 @@
             SETTINGS,
             typing.cast(typing.Any, None),
             self.loads,
-            self.limits,
+            self.statements,
             self.quarantine,
             self.report,
             lambda state: self.peer_changes.append(
@@ -89,6 +94,7 @@
         reaches_store: bool = True,
         weight: float = 1.0,
         reaches_targets: bool = True,
+        departures: tuple[departure_tables.Departure, ...] = (),
     ) -> None:
         """Receive the state of a peer."""
         ip = f'10.0.0.{host[1:]}'
@@ -109,6 +115,7 @@
                 reaches_targets,
             ),
             {'t1': 2},
+            departures=departures,
         )
         link = self.fleet._link
         link.datagram_received(msgspec.msgpack.encode(state), (ip, 1))
@@ -199,6 +206,24 @@
     assert harness.fleet.selector.live_hosts() == frozenset({'h1', 'h2'})
 
 
+def test_departures_pass_between_hosts() -> None:
+    """Guards against a departure that stays with the host that saw it."""
+    harness = _FleetHarness()
+    sent: list[state_link.HostState] = []
+    harness.fleet._link.send = (  # type: ignore[method-assign]
+        lambda state, _: sent.append(state)
+    )
+    target, other = map(harnesses.build_target, ('t1', 't2'))
+    harness.targets.replace([target, other])
+    harness.statements.departures.on_response(other)
+    departure = departure_tables.Departure('t1', 1, 100)
+    harness.receive_state('h2', 'a', departures=(departure,))
+    assert harness.targets.usable('board') == ()
+    harness.fleet._send(['h2'])
+    own = departure_tables.Departure('t2', 1, 0)
+    assert sent[0].departures == (own,)
+
+
 def test_rows_are_fetched_only_from_a_peer_with_newer_changes() -> None:
     """Guards against calls to peers without newer changes."""
 
--- a/tests/metrics/test_collector.py
+++ b/tests/metrics/test_collector.py
@@ -31,6 +31,7 @@
     """Guards against metrics that are missing from the exposition."""
     metrics = collector.Metrics(clocks.ManualClock())
     metrics.set_gauge_source(_GaugeSource())
+    metrics.set_unavailable(lambda: {'leaving': 2})
     metrics.on_request('a', 'north', codes.ResultCode.OK, 2_000)
     metrics.on_request('a', '', codes.ResultCode.NO_CAPACITY, 10)
     metrics.on_drained('target', 1_500_000)
@@ -55,6 +56,7 @@
         ),
         ('invariant_violations_total{invariant="shift cap"}', 2),
         ('region_shift_fraction', 0.12),
+        ('unavailable_targets{reason="leaving"}', 2),
         ('config_version', 7),
         ('slots_free{region="north",service="a"}', 3),
         ('slots_used{region="north",service="a"}', 2),
--- a/tests/requests/relay_rig.py
+++ b/tests/requests/relay_rig.py
@@ -131,7 +131,7 @@
             self.scene.loads,
             self.scene.ejections,
             self.scene.warmups,
-            self.scene.limits,
+            self.scene.statements,
             self.scene.rates,
             self.scene.targets,
             typing.cast(typing.Any, self.client),
@@ -210,6 +210,11 @@
     return Response(503, (NOT_RUN,))
 
 
+def leaving() -> Response:
+    """Response of a target that leaves."""
+    return Response(headers=(SIGNED, (b'server-leaving', b'1')))
+
+
 LOST = outcome.Failure(CODE.TARGET_LOST, 'reset', codes.Ran.UNKNOWN)
 CONNECT_FAILED = outcome.Failure(
     CODE.TARGET_CONNECT_FAILED, 'refused', codes.Ran.NOT_RUN
--- a/tests/requests/test_endless_response.py
+++ b/tests/requests/test_endless_response.py
@@ -110,7 +110,7 @@
             self.scene.loads,
             self.scene.ejections,
             self.scene.warmups,
-            self.scene.limits,
+            self.scene.statements,
             self.scene.rates,
             self.scene.targets,
             self.client,
--- a/tests/tracing/test_request.py
+++ b/tests/tracing/test_request.py
@@ -20,6 +20,12 @@
         'target': 't1',
         'reason': 'TARGET_LOST',
     },
+    {
+        'time_ms': 1_300,
+        'message': 'target leaves',
+        'target': 't1',
+        'source': 'peer',
+    },
     {
         'time_ms': 2_500,
         'message': 'attempt',
@@ -63,6 +69,7 @@
     attempt, refusal = steps
     assert attempt.time_ms == 2_200
     assert [(record.message, record.age_ms) for record in attempt.beliefs] == [
+        ('target leaves', 900),
         ('target ejected', 1_000),
         ('configuration in force', 1_100),
         ('started', 1_200),
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import functools
@@ -171,6 +172,20 @@
             _retry_after_ms(best.wait_ms, query.max_wait_ms),
         )
 
+    def count_unavailable(self) -> dict[str, int]:
+        """Count the listed targets that get no new requests, by reason."""
+        counts: collections.Counter[str] = collections.Counter()
+        for record in self._targets.record_by_name.values():
+            if record.is_draining:
+                counts['draining'] += 1
+            elif self._targets.is_leaving(record):
+                counts['leaving'] += 1
+            elif record.domain in self._targets.evacuated_domains:
+                counts['evacuated'] += 1
+            elif not self._ejections.is_available(record.name):
+                counts['ejected'] += 1
+        return dict(counts)
+
     def adjust_splits(self, region_by_host: dict[str, str]) -> None:
         """Move the splits of all services one step towards their plans.
 
--- a/wigeonhatch/balance/rate_limits.py
+++ b/wigeonhatch/balance/rate_limits.py
@@ -4,21 +4,17 @@
 
 import collections.abc
 import dataclasses
-import itertools
 import logging
 
 import msgspec
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
+from wigeonhatch.balance import _rotation
 from wigeonhatch.targets import registry
 
 MIN_RATE_PER_S = 0.2
 """Lowest rate to apply, since only a response shows that a limit has ended."""
-MAX_STATEMENTS = 20
-"""Maximum statements per report, so that it fits into one packet."""
-ROTATION_MS = 200
-"""Time after which a report has other statements if there are more."""
 _END_MARGIN_MS = 500
 """Time by which a response without a limit has to be newer than the last one
 with a limit; responses overtake each other on their ways to the hosts."""
@@ -28,9 +24,6 @@
 _ENDED_RETENTION_MS = 60_000
 _LOG = logging.getLogger(__name__)
 
-Key = tuple[str, int]
-"""Name and start of a target; a restarted target has stated nothing yet."""
-
 
 class RateStatement(msgspec.Struct, frozen=True, array_like=True):
     """Newest known statement of a target on its rate limit.
@@ -87,7 +80,7 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._known_by_key: dict[Key, _Known] = {}
+        self._known_by_key: dict[registry.Incarnation, _Known] = {}
 
     def rate_per_s(self, target: registry.TargetRecord) -> float | None:
         """Rate that all hosts together may send to a target.
@@ -100,7 +93,7 @@
         """
         if not self._known_by_key:
             return None
-        known = self._known_by_key.get((target.name, target.started_ms))
+        known = self._known_by_key.get(target.incarnation)
         if known is None or known.has_ended:
             return None
         return max(MIN_RATE_PER_S, known.rate_per_s)
@@ -114,7 +107,7 @@
             target: The target.
             rate_per_s: Limit; None if the response has none.
         """
-        key = (target.name, target.started_ms)
+        key = target.incarnation
         now_ms = self._clock.now_ms
         self._apply(key, rate_per_s, now_ms)
         known = self._known_by_key.get(key)
@@ -132,8 +125,12 @@
                 self._clock.now_ms - item.age_ms,
             )
 
-    def build_report(self) -> tuple[RateStatement, ...]:
-        """Select the statements to report to the peers."""
+    def build_report(self, max_statements: int) -> tuple[RateStatement, ...]:
+        """Select the statements to report to the peers.
+
+        Args:
+            max_statements: Maximum number of statements.
+        """
         now_ms = self._clock.now_ms
         reported = [
             RateStatement(
@@ -144,15 +141,7 @@
             for key, known in self._known_by_key.items()
             if _is_reported(known, now_ms)
         ]
-        start = 0
-        if len(reported) > MAX_STATEMENTS:
-            start = now_ms // ROTATION_MS * MAX_STATEMENTS % len(reported)
-        return tuple(
-            itertools.islice(
-                itertools.chain(reported[start:], reported[:start]),
-                MAX_STATEMENTS,
-            )
-        )
+        return _rotation.select(reported, max_statements, now_ms)
 
     def retain(
         self, targets: collections.abc.Iterable[registry.TargetRecord]
@@ -160,11 +149,13 @@
         """Discard what is known of all targets except the given ones."""
         if not self._known_by_key:
             return
-        keys = {(target.name, target.started_ms) for target in targets}
+        keys = {target.incarnation for target in targets}
         for key in self._known_by_key.keys() - keys:
             del self._known_by_key[key]
 
-    def _apply(self, key: Key, rate_per_s: float | None, at_ms: int) -> None:
+    def _apply(
+        self, key: registry.Incarnation, rate_per_s: float | None, at_ms: int
+    ) -> None:
         known = self._known_by_key.get(key)
         if known is None:
             if rate_per_s is not None:
@@ -192,7 +183,7 @@
     )
 
 
-def _log_change(key: Key, rate_per_s: float | None) -> None:
+def _log_change(key: registry.Incarnation, rate_per_s: float | None) -> None:
     log.event(
         _LOG,
         'target rate limit changed',
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -20,9 +20,9 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import rate_budget
-from wigeonhatch.balance import rate_limits
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import shift_limit
+from wigeonhatch.balance import statements
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import directory
@@ -93,7 +93,7 @@
         self._routes = tables.RouteTable()
         self._targets = registry.TargetRegistry(clock)
         self._loads = loads.LoadTable(clock)
-        self._limits = rate_limits.RateLimitTable(clock)
+        self._statements = statements.StatementTable(self._targets, clock)
         self._ejections = ejection.EjectionTable(clock)
         self._link_weight = host_weight.LinkWeight(
             settings.link_mbps,
@@ -108,7 +108,7 @@
             settings,
             self._store,
             self._loads,
-            self._limits,
+            self._statements,
             self._quarantine,
             self._build_report,
             lambda state: self._store_follower.on_peer_state(state),
@@ -129,7 +129,7 @@
         )
         self._rates = rate_budget.RateBudget(
             settings.host,
-            self._limits,
+            self._statements.rate_limits,
             self._fleet.selector.find_senders,
             clock,
         )
@@ -158,6 +158,7 @@
         self._metrics.set_largest_shift(lambda: self._regions.meter.largest)
         self._metrics.set_task_errors(lambda: self._supervisor.errors_by_task)
         self._metrics.set_reach(lambda: not self._reach.is_lost)
+        self._metrics.set_unavailable(self._picker.count_unavailable)
         self._client = target_client.TargetClient(
             clock,
             accepts_close_delimited=True,
@@ -187,7 +188,7 @@
             self._loads,
             self._ejections,
             self._warmups,
-            self._limits,
+            self._statements,
             self._rates,
             self._targets,
             self._client,
@@ -342,7 +343,7 @@
         config = self._routes.config
         self._ejections.retain(frozenset(records))
         self._warmups.retain(records.keys())
-        self._limits.retain(records.values())
+        self._statements.retain(records.values())
         self._rates.retain(records.keys())
         services = {} if config is None else config.service_by_name
         self._client.set_targets(
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -11,7 +11,7 @@
 from wigeonhatch import log
 from wigeonhatch import settings as settings_module
 from wigeonhatch.balance import loads
-from wigeonhatch.balance import rate_limits
+from wigeonhatch.balance import statements as statement_tables
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import host_selector
 from wigeonhatch.peers import readers
@@ -46,7 +46,7 @@
         settings: Settings of this host.
         store: Client of the platform's store.
         load_table: Requests in progress by target.
-        limits: Rate limits that targets state.
+        statements: What targets state of themselves.
         quarantine: Requests that crash targets.
         report: Returns the status that this host reports about itself.
         on_peer_state: Called with each new state of a peer.
@@ -58,7 +58,7 @@
         settings: edge_settings.EdgeSettings,
         store: stores.StoreClient,
         load_table: loads.LoadTable,
-        limits: rate_limits.RateLimitTable,
+        statements: statement_tables.StatementTable,
         quarantine: quarantines.QuarantineTable,
         report: collections.abc.Callable[[], state_link.HostReport],
         on_peer_state: collections.abc.Callable[[state_link.HostState], None],
@@ -73,7 +73,7 @@
         self.add_seeds(settings.seeds)
         self._store = store
         self._loads = load_table
-        self._limits = limits
+        self._statements = statements
         self._quarantine = quarantine
         quarantine.on_change = self._send_early
         self._report = report
@@ -255,7 +255,11 @@
         ip, _ = settings_module.parse_address(state.caller_address)
         self.roster.set_ip(state.host, ip)
         self._loads.on_report(state.host, state.count_by_target)
-        self._limits.on_report(state.rate_statements)
+        self._statements.on_report(
+            statement_tables.StatementReport(
+                state.rate_statements, state.departures
+            )
+        )
         self._quarantine.on_report(state.crash_statements)
         if self._incarnation_by_host.get(state.host) != state.incarnation:
             self._incarnation_by_host[state.host] = state.incarnation
@@ -278,6 +282,7 @@
                 name: counts[name]
                 for name in busiest[: state_link.MAX_TARGETS]
             }
+        report = self._statements.build_report()
         state = state_link.HostState(
             self._settings.host,
             self._incarnation,
@@ -287,8 +292,9 @@
             self._settings.caller_address,
             self._report(),
             counts,
-            self._limits.build_report(),
+            report.rate_limits,
             self._quarantine.build_report(),
+            report.departures,
         )
         # A seed may also be on the roster under its host name.
         ips = {self.roster.ip_by_host[host] for host in hosts}
--- a/wigeonhatch/entry/restore_hold.py
+++ b/wigeonhatch/entry/restore_hold.py
@@ -18,9 +18,6 @@
 _RETENTION_MS = 60_000
 """Time for which targets that have left are remembered; copies are newer."""
 
-Key = tuple[str, int]
-"""Name and start of a target."""
-
 
 class RestoreHold:
     """Targets that have left, and evacuations, from before a restore.
@@ -33,7 +30,7 @@
         self._clock = clock
         self._end_ms: int | None = None
         self._operator_keys: set[str] = set()
-        self._left_ms_by_key: dict[Key, int] = {}
+        self._left_ms_by_key: dict[registry.Incarnation, int] = {}
         self._older_by_name: dict[str, registry.TargetRecord] = {}
 
     @property
@@ -82,7 +79,7 @@
         """Remember targets that drain or are no longer listed."""
         now_ms = self._clock.now_ms
         for target in targets:
-            key = (target.name, target.started_ms)
+            key = target.incarnation
             self._left_ms_by_key.setdefault(key, now_ms)
         for key, left_ms in list(self._left_ms_by_key.items()):
             if left_ms < now_ms - _RETENTION_MS:
@@ -106,7 +103,7 @@
             if target.is_draining:
                 self.on_left([target])
             else:
-                self._left_ms_by_key.pop((target.name, target.started_ms), 0)
+                self._left_ms_by_key.pop(target.incarnation, 0)
 
     def filter_snapshot(
         self,
@@ -128,7 +125,7 @@
             is_restarted = (
                 current is not None and current.started_ms > record.started_ms
             )
-            key = (record.name, record.started_ms)
+            key = record.incarnation
             has_left = not record.is_draining and key in self._left_ms_by_key
             if has_left and not is_restarted:
                 self._older_by_name[record.name] = record
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -81,6 +81,7 @@
         self._read_control_counters: ReadCounters | None = None
         self._read_selections: ReadSelections | None = None
         self._read_task_errors: ReadCounters | None = None
+        self._read_unavailable: ReadCounters | None = None
         self._read_reach: collections.abc.Callable[[], bool] | None = None
         self._read_largest_shift: (
             collections.abc.Callable[[], float] | None
@@ -139,6 +140,14 @@
         """
         self._read_reach = read
 
+    def set_unavailable(self, read: ReadCounters) -> None:
+        """Set the counts of targets without new requests to read.
+
+        Args:
+            read: Returns the number of listed targets by reason.
+        """
+        self._read_unavailable = read
+
     def set_task_errors(self, read: ReadCounters) -> None:
         """Set the counters of errors that ended a task to read.
 
@@ -231,6 +240,15 @@
                 'Whether the host can open connections to targets.',
                 value=int(self._read_reach()),
             )
+        if self._read_unavailable is not None:
+            unavailable = core.GaugeMetricFamily(
+                'wigeonhatch_unavailable_targets',
+                'Listed targets that get no new requests, by reason.',
+                labels=('reason',),
+            )
+            for reason, count in self._read_unavailable().items():
+                unavailable.add_metric((reason,), count)
+            yield unavailable
         if self._read_task_errors is not None:
             yield _counter(
                 'wigeonhatch_task_errors',
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -18,6 +18,7 @@
 from wigeonhatch import decoding
 from wigeonhatch import log
 from wigeonhatch import settings
+from wigeonhatch.balance import departures as departure_tables
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.requests import quarantine
 
@@ -80,6 +81,7 @@
         count_by_target: Number of its requests in flight by target.
         rate_statements: Rate limits that targets have stated.
         crash_statements: Requests that crash targets.
+        departures: Targets that have stated that they leave.
     """
 
     host: str
@@ -92,6 +94,7 @@
     count_by_target: dict[str, int]
     rate_statements: tuple[rate_limits.RateStatement, ...] = ()
     crash_statements: tuple[quarantine.CrashStatement, ...] = ()
+    departures: tuple[departure_tables.Departure, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -17,7 +17,7 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import rate_budget
-from wigeonhatch.balance import rate_limits
+from wigeonhatch.balance import statements as statement_tables
 from wigeonhatch.balance import warmup
 from wigeonhatch.platform import messages
 from wigeonhatch.requests import _attempt_log
@@ -55,8 +55,8 @@
         load_table: Number of requests in progress at each target.
         ejections: Outlier ejection of failing targets.
         warmups: Request rate limits of cold targets.
-        limits: Rate limits that targets state.
-        rates: Share of this host in these limits.
+        statements: What targets state of themselves.
+        rates: Share of this host in the rate limits that they state.
         targets: Registry of targets.
         client: HTTP client of the targets.
         quarantine: Requests that crash targets.
@@ -73,7 +73,7 @@
         load_table: loads.LoadTable,
         ejections: ejection.EjectionTable,
         warmups: warmup.WarmupBudget,
-        limits: rate_limits.RateLimitTable,
+        statements: statement_tables.StatementTable,
         rates: rate_budget.RateBudget,
         targets: registry.TargetRegistry,
         client: target_client.TargetClient,
@@ -88,7 +88,7 @@
         self._loads = load_table
         self._ejections = ejections
         self._warmups = warmups
-        self._limits = limits
+        self._statements = statements
         self._rates = rates
         self._targets = targets
         self.is_stopping = False
@@ -324,9 +324,7 @@
         self._last_responses.on_response(target.name)
         if head.warmup_left_ms:
             self._targets.on_warmup_report(target.name, head.warmup_left_ms)
-        is_own = head.is_signed and head.request_id == request.request_id
-        if is_own or head.max_rate_per_s is not None:
-            self._limits.on_response(target, head.max_rate_per_s)
+        self._statements.on_response(target, request.request_id, head)
 
     def _refuse_forwarded(
         self,
--- a/wigeonhatch/targets/registry.py
+++ b/wigeonhatch/targets/registry.py
@@ -10,6 +10,8 @@
 from wigeonhatch import log
 from wigeonhatch.routes import model
 
+Incarnation = tuple[str, int]
+"""Name and start of a target; a restarted target is another incarnation."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -38,6 +40,11 @@
     warmup_left_ms: int
     started_ms: int
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Name and start of the process."""
+        return self.name, self.started_ms
+
 
 class TargetRegistry:
     """Targets by name, and the failure domains that are evacuated.
@@ -54,6 +61,7 @@
         self._cold_until_by_name: dict[str, int] = {}
         self._usable_by_service: dict[str, tuple[TargetRecord, ...]] = {}
         self._service_by_name: dict[str, model.ServiceConfig] = {}
+        self._leaving: frozenset[Incarnation] = frozenset()
         self._is_loaded = False
 
     def set_services(
@@ -109,6 +117,24 @@
         log.event(_LOG, 'evacuation', domains=sorted(domains))
         self._rebuild()
 
+    def set_leaving(self, leaving: frozenset[Incarnation]) -> None:
+        """Exclude targets that have stated that they leave.
+
+        Args:
+            leaving: All incarnations that have stated it.
+        """
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self._rebuild()
+
+    def is_leaving(self, record: TargetRecord) -> bool:
+        """Tell whether a target has stated that it leaves.
+
+        Args:
+            record: Entry of the target.
+        """
+        return record.incarnation in self._leaving
+
     def usable(self, service: str) -> tuple[TargetRecord, ...]:
         """Targets of a service that may receive new requests.
 
@@ -135,7 +161,7 @@
         in_region: list[str] = []
         elsewhere: list[str] = []
         for record in self.record_by_name.values():
-            if record.is_draining:
+            if not self._is_accepting(record):
                 continue
             if record.domain == domain:
                 in_domain.append(record.name)
@@ -151,7 +177,7 @@
         return (
             current is not None
             and current.started_ms == record.started_ms
-            and not current.is_draining
+            and self._is_accepting(current)
             and current.domain not in self.evacuated_domains
         )
 
@@ -204,6 +230,10 @@
             self._cold_until_by_name.pop(name, None)
             log.event(_LOG, 'target removed', target=name)
 
+    def _is_accepting(self, record: TargetRecord) -> bool:
+        """Tell whether neither its entry nor a response ends its service."""
+        return not record.is_draining and not self.is_leaving(record)
+
     def _set_cold(self, name: str, remaining_ms: int) -> None:
         until_ms = self._clock.now_ms + remaining_ms
         self._cold_until_by_name[name] = max(
@@ -218,7 +248,7 @@
         by_service: dict[str, list[TargetRecord]] = {}
         for record in self.record_by_name.values():
             if (
-                not record.is_draining
+                self._is_accepting(record)
                 and record.domain not in self.evacuated_domains
             ):
                 by_service.setdefault(record.service, []).append(record)
--- a/wigeonhatch/tracing/request.py
+++ b/wigeonhatch/tracing/request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import typing
@@ -21,12 +22,15 @@
 """Subject and displayed field of each message that changes the state of a host
 for all requests."""
 _TARGET_FIELD_BY_MESSAGE = {
-    'target changed': 'draining',
-    'target removed': 'target',
-    'target ejected': 'reason',
-    'target readmitted': 'target',
+    'target changed': ('entry', 'draining'),
+    'target removed': ('entry', 'target'),
+    'target ejected': ('health', 'reason'),
+    'target readmitted': ('health', 'target'),
+    'target leaves': ('departure', 'source'),
+    'target rate limit changed': ('rate limit', 'rate_limit'),
 }
-"""Displayed field of each message that changes the state of one target."""
+"""Subject and displayed field of each message that changes the state of one
+target."""
 _OMITTED_FIELDS = frozenset(
     {'time_ms', 'level', 'logger', 'message', 'request_id', 'dropped'}
 )
@@ -67,11 +71,13 @@
 
 
 class _HostState:
-    """State of one host: the newest log line of each subject and target."""
+    """State of one host: the newest log line of each subject."""
 
     def __init__(self) -> None:
         self._line_by_subject: dict[str, tuple[reader.LogLine, str]] = {}
-        self._line_by_target: dict[str, tuple[reader.LogLine, str]] = {}
+        self._line_by_target: dict[
+            str, dict[str, tuple[reader.LogLine, str]]
+        ] = collections.defaultdict(dict)
 
     def apply(self, line: reader.LogLine) -> None:
         """Apply a line that changes the state of the host."""
@@ -84,17 +90,20 @@
             subject, field = host_field
             table = line.fields.get('table', '')
             self._line_by_subject[f'{subject} {table}'] = (line, field)
-        field = _TARGET_FIELD_BY_MESSAGE.get(line.message, '')
-        if field and 'target' in line.fields:
-            self._line_by_target[line.fields['target']] = (line, field)
+        target_field = _TARGET_FIELD_BY_MESSAGE.get(line.message)
+        if target_field is not None and 'target' in line.fields:
+            subject, field = target_field
+            lines = self._line_by_target[line.fields['target']]
+            lines[subject] = (line, field)
 
     def at(
         self, time_ms: int, target: str | None
     ) -> collections.abc.Iterator[StateRecord]:
         """Yield the state at a time, newest change first."""
-        changes = list(self._line_by_subject.values())
-        if target in self._line_by_target:
-            changes.append(self._line_by_target[target])
+        changes = [
+            *self._line_by_subject.values(),
+            *self._line_by_target.get(target or '', {}).values(),
+        ]
         for line, field in sorted(changes, key=lambda item: -item[0].time_ms):
             table = line.fields.get('table')
             yield StateRecord(
