Send no requests to targets that ask for a pause

Targets that turned requests away and asked for a pause went on to get them, and where half of the targets did so, a fifth of the callers were refused beside targets with room: each refusal cost an attempt and a retry of the budget.

Cause: nothing read Retry-After in the 503 of a target.

Change: PauseTable keeps the pause of each incarnation for this host, and Picker passes over the target in every way: home targets, retries, requests of peers, and targets that are used although they fail because most do. Ejections let it prove itself afterwards with one request at a time, over a new connection since the target may be closing the idle ones, and by requests that can be retried. Its slots do not count, so that other regions serve at once. If all targets have asked for a pause, callers are refused at once with the time until the first ends.

--- a/benchmarks/edge_control.py
+++ b/benchmarks/edge_control.py
@@ -17,6 +17,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import pauses
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import rate_budget
 from wigeonhatch.balance import rate_limits
@@ -103,6 +104,7 @@
             lambda _: rate_budget.HostGroup(frozenset({'h'}), 1),
             clock,
         ),
+        pauses.PauseTable(clock),
         clock,
     )
     picker.configure({'s': SERVICE_CONFIG})
--- a/tests/balance/harness.py
+++ b/tests/balance/harness.py
@@ -100,6 +100,7 @@
             self.ejections,
             self.warmups,
             self.rates,
+            self.statements.pauses,
             self.clock,
         )
         self.picker.configure({'board': SERVICE_CONFIG})
@@ -137,7 +138,10 @@
         wait_ms: float = 300.0,
         allowed_regions: frozenset[str] = frozenset(),
         excluded: collections.abc.Set[str] = frozenset(),
+        can_retry: bool = True,
     ) -> pickers.Pick | pickers.NoTarget:
         """Select a target for a request of the service `board`."""
-        query = pickers.Query('board', affinity_key, allowed_regions, wait_ms)
+        query = pickers.Query(
+            'board', affinity_key, allowed_regions, wait_ms, can_retry
+        )
         return self.picker.pick(query, excluded)
--- a/tests/balance/region_simulation.py
+++ b/tests/balance/region_simulation.py
@@ -111,6 +111,7 @@
                 lambda _: rate_budget.HostGroup(hosts, 1),
                 clock,
             ),
+            host.statements.pauses,
             clock,
         )
         self.picker.configure(services)
--- a/tests/balance/test_statements.py
+++ b/tests/balance/test_statements.py
@@ -31,6 +31,22 @@
     assert targets.usable('board') == ()
 
 
+@pytest.mark.parametrize('value', [b'-1', b'soon', b'', b'\xff' * 400])
+def test_unreadable_pause_has_no_effect(
+    value: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a malformed field that takes a target out of use."""
+    table, targets = _build_table()
+    caplog.set_level('INFO')
+    record = targets.record_by_name['t1']
+    fields = messages.read_target_fields([(b'retry-after', value)], 503)
+    table.on_response(record, b'r1', fields)
+    assert table.pauses.left_ms(record) == 0
+    assert [item.message for item in caplog.records] == [
+        'target field unusable'
+    ]
+
+
 @pytest.mark.parametrize('hosts', [7, 60])
 def test_state_with_all_statements_fits_into_one_packet(hosts: int) -> None:
     """Guards against states that are split or lost while much is stated."""
--- a/tests/requests/relay_rig.py
+++ b/tests/requests/relay_rig.py
@@ -61,6 +61,7 @@
         self.targets: list[str] = []
         self.heads: list[target_request.RequestHead] = []
         self.on_send: collections.abc.Callable[[], None] = lambda: None
+        self.closed_idle: list[str] = []
         self.has_crashed = False
         self.on_crash: collections.abc.Callable[[str], None] = lambda _: None
 
@@ -93,7 +94,8 @@
         return self.has_crashed
 
     def close_idle(self, target: str) -> None:
-        """Do nothing; there are no connections."""
+        """Record the call; there are no connections."""
+        self.closed_idle.append(target)
 
 
 class Forwarder:
@@ -210,6 +212,11 @@
     return Response(503, (NOT_RUN,))
 
 
+def paused(retry_after: bytes) -> Response:
+    """Refusal of a target that asks for a pause."""
+    return Response(503, (NOT_RUN, (b'retry-after', retry_after)))
+
+
 def leaving() -> Response:
     """Response of a target that leaves."""
     return Response(headers=(SIGNED, (b'server-leaving', b'1')))
--- a/tests/requests/test_relay_statements.py
+++ b/tests/requests/test_relay_statements.py
@@ -1,4 +1,4 @@
-"""Tests of relayed requests to targets that leave."""
+"""Tests of relayed requests to targets that leave or ask for a pause."""
 
 from __future__ import annotations
 
@@ -45,3 +45,27 @@
     )
     assert isinstance(rig.run(), relay_model.Response)
     assert len(rig.scene.targets.usable('board')) == 4
+
+
+def test_paused_target_is_passed_over_until_its_pause_ends() -> None:
+    """Guards against requests to a target that wants none from this host."""
+    rig = rigs.Rig(lambda: rigs.paused(b'3'), *[rigs.Response] * 12)
+    for _ in range(5):
+        assert isinstance(rig.run(), relay_model.Response)
+    first, *others = rig.client.targets
+    assert first not in others
+    rig.scene.clock.advance(3_000)
+    for _ in range(3):
+        assert isinstance(rig.run(), relay_model.Response)
+    assert first in rig.client.targets[-3:]
+    assert rig.client.closed_idle == [first]
+
+
+def test_refusal_of_all_targets_tells_when_to_return() -> None:
+    """Guards against callers that return before a target wants them."""
+    rig = rigs.Rig(*[lambda: rigs.paused(b'9')] * 4, retries=0)
+    for expected_ms in (200, 200, 200, 9_000, 9_000):
+        result = rig.run()
+        assert isinstance(result, relay_model.Refusal)
+        assert result.retry_after_ms == expected_ms
+    assert len(rig.client.targets) == 4
--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -32,6 +32,7 @@
     ejected_until_ms: int = 0
     is_on_trial: bool = False
     has_responded: bool = False
+    has_refused: bool = False
     trials_in_progress: int = 0
 
 
@@ -71,10 +72,22 @@
         """Tell whether the target responded to the last failed request.
 
         Such a target may still serve some requests, which is better than none
-        if most targets fail in the same way.
+        if most targets fail in the same way. One that asked for a pause serves
+        none.
         """
         health = self._health_by_target.get(target)
-        return health is None or health.has_responded
+        return health is None or (
+            health.has_responded and not health.has_refused
+        )
+
+    def has_refused(self, target: str) -> bool:
+        """Tell whether a target has asked for a pause and served none since.
+
+        Args:
+            target: Name of the target.
+        """
+        health = self._health_by_target.get(target)
+        return health is not None and health.has_refused
 
     def is_suspect(self, target: str) -> bool:
         """Tell whether a target is ejected or on trial."""
@@ -96,7 +109,7 @@
         health.consecutive_failures = 0
         health.failure_ratio *= 1 - _SMOOTHING
         if health.is_on_trial:
-            health.is_on_trial = False
+            health.is_on_trial = health.has_refused = False
             health.trials_in_progress = 0
             health.failure_ratio = 0.0
             log.event(_LOG, 'target readmitted', target=target)
@@ -109,6 +122,17 @@
         if health is not None and health.trials_in_progress:
             health.trials_in_progress -= 1
 
+    def on_pause(self, target: str) -> None:
+        """Let a target that asked for a pause prove that it serves again.
+
+        Args:
+            target: Name of the target.
+        """
+        health = self._health_by_target.setdefault(target, _Health())
+        if health.trials_in_progress:
+            health.trials_in_progress -= 1
+        health.is_on_trial = health.has_refused = True
+
     def on_failure(
         self, target: str, has_responded: bool, reason: str
     ) -> None:
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -13,6 +13,7 @@
 from wigeonhatch.balance import affinity
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import pauses as pause_tables
 from wigeonhatch.balance import rate_budget
 from wigeonhatch.balance import region_selector
 from wigeonhatch.balance import warmup
@@ -44,12 +45,15 @@
         affinity_key: Affinity key of the request; empty for none.
         allowed_regions: Regions that may serve it; empty for all.
         max_wait_ms: Longest acceptable wait for a slot, from now, in ms.
+        can_retry: Whether it may be sent to another target if the first one
+            refuses it.
     """
 
     service: str
     affinity_key: bytes
     allowed_regions: frozenset[str]
     max_wait_ms: float
+    can_retry: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +98,7 @@
         ejections: Targets that are ejected because they fail.
         warmups: Rate limit of cold targets.
         rates: Share in the rate limits that targets state.
+        pauses: Pauses that targets have asked for.
         clock: Source of monotonic time.
     """
 
@@ -105,6 +110,7 @@
         ejections: ejection.EjectionTable,
         warmups: warmup.WarmupBudget,
         rates: rate_budget.RateBudget,
+        pauses: pause_tables.PauseTable,
         clock: clocks.Clock,
     ) -> None:
         self._regions = regions
@@ -113,6 +119,7 @@
         self._ejections = ejections
         self._warmups = warmups
         self._rates = rates
+        self._pauses = pauses
         self._service_by_name: dict[str, model.ServiceConfig] = {}
         self._affinity_keys = affinity.AffinityKeyCounter(clock)
         self._find_regions = functools.lru_cache(_MAX_SERVICES)(
@@ -149,27 +156,69 @@
         split_region, order = self._regions.select(
             query.service, regions, query.affinity_key
         )
+        regions_to_try = tuple(order)
         best: Pick | None = None
-        for region in order:
-            pick = self._pick_in_region(region, query, excluded)
-            if pick is None:
-                continue
-            if pick.wait_ms <= query.max_wait_ms:
-                self._regions.on_request(query.service, region, split_region)
-                return dataclasses.replace(
-                    pick, split_region=split_region or ''
+        # A target that has just asked for a pause may refuse again.
+        for avoids_refusal in (False,) if query.can_retry else (True, False):
+            for region in regions_to_try:
+                pick = self._pick_in_region(
+                    region, query, excluded, avoids_refusal
                 )
-            if best is None or pick.wait_ms < best.wait_ms:
-                best = pick
-        if best is None:
+                if pick is None:
+                    continue
+                if pick.wait_ms <= query.max_wait_ms:
+                    self._regions.on_request(
+                        query.service, region, split_region
+                    )
+                    return dataclasses.replace(
+                        pick, split_region=split_region or ''
+                    )
+                if best is None or pick.wait_ms < best.wait_ms:
+                    best = pick
+        return self._explain_none(query, best)
+
+    def min_retry_after_ms(
+        self, service: str, allowed_regions: frozenset[str]
+    ) -> int:
+        """Earliest time after which a refused request may find a target.
+
+        Args:
+            service: Name of the service.
+            allowed_regions: Regions that may serve the request; empty for all.
+
+        Returns:
+            Time in ms; beyond the usual minimum only while all targets have
+            asked for a pause.
+        """
+        lefts_ms = (
+            self._pauses.left_ms(record)
+            for record in self._targets.usable(service)
+            if not allowed_regions
+            or self.region_of(record.domain) in allowed_regions
+        )
+        return max(MIN_RETRY_AFTER_MS, min(lefts_ms, default=0))
+
+    def _explain_none(self, query: Query, best: Pick | None) -> NoTarget:
+        """Tell why no target can serve a request in time.
+
+        Args:
+            query: Requirements of the request.
+            best: Target with the shortest wait; None if there is none.
+        """
+        if best is not None:
             return NoTarget(
-                'all targets fail or are cold, or the cap is reached',
-                MIN_RETRY_AFTER_MS,
+                f'wait of {best.wait_ms:.0f} ms, '
+                f'useful are {query.max_wait_ms:.0f}',
+                _retry_after_ms(best.wait_ms, query.max_wait_ms),
             )
+        retry_after_ms = self.min_retry_after_ms(
+            query.service, query.allowed_regions
+        )
+        if retry_after_ms > MIN_RETRY_AFTER_MS:
+            return NoTarget('all targets ask for a pause', retry_after_ms)
         return NoTarget(
-            f'wait of {best.wait_ms:.0f} ms, '
-            f'useful are {query.max_wait_ms:.0f}',
-            _retry_after_ms(best.wait_ms, query.max_wait_ms),
+            'all targets fail or are cold, or the cap is reached',
+            retry_after_ms,
         )
 
     def count_unavailable(self) -> dict[str, int]:
@@ -182,10 +231,20 @@
                 counts['leaving'] += 1
             elif record.domain in self._targets.evacuated_domains:
                 counts['evacuated'] += 1
+            elif self._pauses.left_ms(record):
+                counts['paused'] += 1
             elif not self._ejections.is_available(record.name):
                 counts['ejected'] += 1
         return dict(counts)
 
+    def recount_slots(self, service: str) -> None:
+        """Take account of targets that can no longer be used, at once.
+
+        Args:
+            service: Name of their service.
+        """
+        self._regions.recount_slots(service)
+
     def adjust_splits(self, region_by_host: dict[str, str]) -> None:
         """Move the splits of all services one step towards their plans.
 
@@ -201,6 +260,7 @@
         region: str,
         query: Query,
         excluded: collections.abc.Set[str],
+        avoids_refusal: bool,
     ) -> Pick | None:
         """Select the target of a region that is expected to respond first.
 
@@ -220,7 +280,9 @@
         other_ms = max(home_ms, self._loads.duration_ms(query.service, False))
         best: Pick | None = None
         best_key = (True, float('inf'))
-        available = self._available_targets(ranking, excluded, rate_per_s)
+        available = self._available_targets(
+            ranking, excluded, rate_per_s, avoids_refusal
+        )
         for rank, record in enumerate(available):
             is_home = rank < home_count
             if not is_home and rank == home_count and self._is_loaded(ranking):
@@ -242,19 +304,24 @@
         ranking: collections.abc.Sequence[registry.TargetRecord],
         excluded: collections.abc.Set[str],
         rate_per_s: float,
+        avoids_refusal: bool,
     ) -> collections.abc.Iterator[registry.TargetRecord]:
         """Yield the targets that may receive a request, in ranking order."""
         ejections = self._ejections
         is_scarce = False
         if not ejections.is_empty:
             available = sum(
-                ejections.is_available(record.name) for record in ranking
+                ejections.is_available(record.name)
+                and not self._pauses.left_ms(record)
+                for record in ranking
             )
             # Without most of the targets, the others would be overloaded.
             is_scarce = available < len(ranking) * MIN_AVAILABLE_FRACTION
         for record in ranking:
             name = record.name
-            if name in excluded:
+            if name in excluded or self._pauses.left_ms(record):
+                continue
+            if avoids_refusal and ejections.has_refused(name):
                 continue
             if not ejections.is_available(name) and not (
                 is_scarce and ejections.has_responded(name)
--- a/wigeonhatch/balance/region_selector.py
+++ b/wigeonhatch/balance/region_selector.py
@@ -147,6 +147,14 @@
             if self._limit.allows(region, usable, region != first)
         )
 
+    def recount_slots(self, service: str) -> None:
+        """Count the slots that can be used before the next adjustment.
+
+        Args:
+            service: Name of the service.
+        """
+        self._slots_by_service[service] = self._count_slots(service)
+
     def on_request(
         self, service: str, region: str, split_region: str | None
     ) -> None:
@@ -206,7 +214,8 @@
         count_by_region: collections.abc.Mapping[str, int],
     ) -> shift_limit.Fractions:
         """Move the split of a service; return what has to leave regions."""
-        slots = self._slots_by_service[service] = self._count_slots(service)
+        self.recount_slots(service)
+        slots = self._slots_by_service[service]
         has_started = bool(self._limit.fraction_by_region)
         estimate = self._demand.update if has_started else self._demand.start
         load = estimate(service, count_by_region, sum(slots.values()))
--- a/wigeonhatch/balance/statements.py
+++ b/wigeonhatch/balance/statements.py
@@ -9,6 +9,7 @@
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
 from wigeonhatch.balance import departures
+from wigeonhatch.balance import pauses
 from wigeonhatch.balance import rate_limits
 from wigeonhatch.platform import messages
 from wigeonhatch.targets import registry
@@ -32,10 +33,10 @@
 
 
 class StatementTable:
-    """Rate limits and departures of targets.
+    """Rate limits, departures and pauses of targets.
 
-    Each statement ends with the incarnation of its target and is told to the
-    peers.
+    Each statement ends with the incarnation of its target. Rate limits and
+    departures concern all hosts and are told to the peers.
 
     Args:
         targets: Listed targets; those that leave get no new requests.
@@ -47,6 +48,7 @@
     ) -> None:
         self.rate_limits = rate_limits.RateLimitTable(clock)
         self.departures = departures.DepartureTable(targets.set_leaving, clock)
+        self.pauses = pauses.PauseTable(clock)
 
     def on_response(
         self,
@@ -66,6 +68,8 @@
             self.rate_limits.on_response(target, fields.max_rate_per_s)
         if fields.is_leaving:
             self.departures.on_response(target)
+        if fields.pause_ms:
+            self.pauses.on_response(target, fields.pause_ms)
         if fields.unusable:
             log.event(
                 _LOG,
@@ -102,3 +106,4 @@
         """
         self.rate_limits.retain(targets)
         self.departures.retain(targets)
+        self.pauses.retain(targets)
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -150,6 +150,7 @@
             self._ejections,
             self._warmups,
             self._rates,
+            self._statements.pauses,
             clock,
         )
         self._metrics.set_selection_counters(
--- a/wigeonhatch/requests/_query.py
+++ b/wigeonhatch/requests/_query.py
@@ -11,7 +11,10 @@
 
 
 def build_query(
-    request: relay_model.RelayRequest, remaining_ms: int, duration_ms: float
+    request: relay_model.RelayRequest,
+    remaining_ms: int,
+    duration_ms: float,
+    can_retry: bool,
 ) -> pickers.Query:
     """Limit the wait for a slot to what the latency objective allows.
 
@@ -22,6 +25,7 @@
         request: Validated head.
         remaining_ms: Time to the deadline in ms.
         duration_ms: Usual duration of the service's requests in ms.
+        can_retry: Whether another target may be tried if one refuses.
     """
     waited_ms = request.deadline_ms - remaining_ms - request.received_ms
     max_wait_ms = request.route.objective_ms - waited_ms - duration_ms
@@ -32,4 +36,5 @@
         request.affinity_key if request.route.has_affinity else b'',
         request.route.allowed_regions,
         max(0.0, max_wait_ms),
+        can_retry,
     )
--- a/wigeonhatch/requests/_target_health.py
+++ b/wigeonhatch/requests/_target_health.py
@@ -6,6 +6,7 @@
 from wigeonhatch import outcome
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import loads
+from wigeonhatch.balance import pauses as pause_tables
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.requests import quarantine as quarantines
 from wigeonhatch.requests import relay_model
@@ -40,6 +41,7 @@
     Args:
         load_table: Usual durations by service.
         ejections: Outlier ejection of failing targets.
+        pauses: Pauses that targets have asked for.
         quarantine: Requests that crash targets.
         crashes: Detects crashes of targets.
         client: HTTP client of the targets.
@@ -50,6 +52,7 @@
         self,
         load_table: loads.LoadTable,
         ejections: ejection.EjectionTable,
+        pauses: pause_tables.PauseTable,
         quarantine: quarantines.QuarantineTable,
         crashes: crash_detector.CrashDetector,
         client: target_client.TargetClient,
@@ -57,6 +60,7 @@
     ) -> None:
         self._loads = load_table
         self._ejections = ejections
+        self._pauses = pauses
         self._quarantine = quarantine
         self._crashes = crashes
         self._client = client
@@ -70,6 +74,7 @@
         result: relay_model.Response | outcome.Failure,
         load: int,
         elapsed_ms: int,
+        pause_ms: int,
     ) -> None:
         """Record the result of an attempt.
 
@@ -80,6 +85,7 @@
             result: Response or failure.
             load: Requests in progress at the target when it started.
             elapsed_ms: Duration in ms.
+            pause_ms: Pause that the target asked for, in ms; 0 for none.
         """
         target = pick.target
         name = target.name
@@ -90,7 +96,9 @@
                     name, True, f'status {result.status}'
                 )
             else:
-                self._ejections.on_success(name)
+                # A request sent before a pause does not end the trial.
+                if not self._pauses.left_ms(target):
+                    self._ejections.on_success(name)
                 # Requests without an affinity key test the configuration.
                 if load < target.slots and request.affinity_key:
                     self._loads.record_duration(
@@ -102,6 +110,8 @@
             self._crashes.on_lost(name, target.started_ms, fingerprint)
         if result.code is codes.ResultCode.CALLER_GONE:
             self._ejections.on_inconclusive(name)
+        elif pause_ms:
+            self._ejections.on_pause(name)
         elif result.code is codes.ResultCode.TARGET_SHED and (
             load >= target.slots
         ):
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -4,7 +4,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import functools
 
 import anyio
@@ -23,6 +22,7 @@
 from wigeonhatch.requests import _attempt_log
 from wigeonhatch.requests import _exchange
 from wigeonhatch.requests import _query
+from wigeonhatch.requests import _refusals
 from wigeonhatch.requests import _target_health
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model
@@ -98,7 +98,13 @@
         self._reach = reach
         self._forwarder = forwarder
         self._health = _target_health.TargetHealth(
-            load_table, ejections, quarantine, crashes, client, reach
+            load_table,
+            ejections,
+            statements.pauses,
+            quarantine,
+            crashes,
+            client,
+            reach,
         )
         self._clock = clock
         self._buffered = response_buffer.BufferedBytes()
@@ -125,10 +131,10 @@
             self._budget_by_service[request.service].on_request()
         while True:
             if control.cause is not None:
-                return self._refuse(history, codes.ResultCode.CALLER_GONE)
+                return _refusals.refuse(history, codes.ResultCode.CALLER_GONE)
             remaining_ms = request.deadline_ms - self._clock.now_ms
             if remaining_ms < MIN_ATTEMPT_MS:
-                return self._refuse(
+                return _refusals.refuse(
                     history, codes.ResultCode.DEADLINE_EXCEEDED
                 )
             failure = history.failure
@@ -140,10 +146,16 @@
                 may_retry or not history.send_count
             )
             if failure is not None and not (may_retry or is_forwarding):
-                return self._refuse(history, failure.code)
+                return _refusals.refuse(
+                    history,
+                    failure.code,
+                    retry_after_ms=self._picker.min_retry_after_ms(
+                        request.service, request.route.allowed_regions
+                    ),
+                )
             quarantined = self._quarantine.check(history.fingerprint)
             if quarantined is not None:
-                return self._refuse(
+                return _refusals.refuse(
                     history,
                     codes.ResultCode.QUARANTINED,
                     quarantined.reason,
@@ -159,21 +171,22 @@
                 if isinstance(forwarded, relay_model.Response):
                     return forwarded
                 if forwarded is not None:
-                    return self._refuse_forwarded(history, forwarded)
+                    return _refusals.refuse_forwarded(history, forwarded)
                 if control.cause is not None:
                     continue
                 if failure is not None and not may_retry:
-                    return self._refuse(history, failure.code)
+                    return _refusals.refuse(history, failure.code)
             pick = self._picker.pick(
                 _query.build_query(
                     request,
                     remaining_ms,
                     self._loads.duration_ms(request.service, True),
+                    self._can_retry(request, history, body),
                 ),
                 history.tried_targets,
             )
             if isinstance(pick, pickers.NoTarget):
-                return self._refuse(
+                return _refusals.refuse(
                     history,
                     codes.ResultCode.NO_CAPACITY,
                     pick.reason,
@@ -189,6 +202,19 @@
         """Tell whether a peer is to run a request."""
         return self._reach.is_lost and not request.is_forwarded
 
+    def _can_retry(
+        self,
+        request: relay_model.RelayRequest,
+        history: relay_model.AttemptHistory,
+        body: bodies.RequestBody,
+    ) -> bool:
+        """Tell whether another target may be tried if the next one refuses."""
+        return (
+            body.is_replayable
+            and history.send_count + 1 < request.route.max_attempts
+            and self._budget_by_service[request.service].has_token
+        )
+
     def _may_retry(
         self,
         request: relay_model.RelayRequest,
@@ -225,6 +251,9 @@
             self._warmups.take_token(name)
         self._rates.take_token(target)
         history.tried_targets.add(name)
+        if self._ejections.has_refused(name):
+            # The target may just be closing connections that were idle.
+            self._client.close_idle(name)
         load = self._loads.in_progress(name)
         started_ms = self._clock.now_ms
         self._loads.start(name)
@@ -261,8 +290,16 @@
                 ran_override=codes.Ran.UNKNOWN,
             )
         self._health.on_result(
-            request, history.fingerprint, pick, result, load, elapsed_ms
+            request,
+            history.fingerprint,
+            pick,
+            result,
+            load,
+            elapsed_ms,
+            history.pause_ms,
         )
+        if history.pause_ms:
+            self._picker.recount_slots(request.service)
         _attempt_log.log_attempt(
             request,
             history,
@@ -325,46 +362,3 @@
         if head.warmup_left_ms:
             self._targets.on_warmup_report(target.name, head.warmup_left_ms)
         self._statements.on_response(target, request.request_id, head)
-
-    def _refuse_forwarded(
-        self,
-        history: relay_model.AttemptHistory,
-        refusal: relay_model.Refusal,
-    ) -> relay_model.Response | relay_model.Refusal:
-        """Refuse a request as the peer did that was to run it."""
-        failure = refusal.failure
-        if not history.may_have_run:
-            history.failure = failure
-            history.may_have_run = failure.ran is not codes.Ran.NOT_RUN
-        return self._refuse(
-            history,
-            failure.code,
-            failure.detail,
-            refusal.retry_after_ms or pickers.MIN_RETRY_AFTER_MS,
-        )
-
-    def _refuse(
-        self,
-        history: relay_model.AttemptHistory,
-        code: codes.ResultCode,
-        detail: str = '',
-        retry_after_ms: int = pickers.MIN_RETRY_AFTER_MS,
-    ) -> relay_model.Response | relay_model.Refusal:
-        if history.error_response is not None:
-            return history.error_response
-        failure = history.failure
-        if failure is None or history.may_have_run is False:
-            failure = outcome.Failure(
-                code,
-                detail or (failure.detail if failure else ''),
-                codes.Ran.NOT_RUN,
-            )
-        elif failure.ran is codes.Ran.NOT_RUN:
-            failure = dataclasses.replace(
-                failure, ran_override=codes.Ran.UNKNOWN
-            )
-        elif code is codes.ResultCode.QUARANTINED:
-            failure = dataclasses.replace(
-                failure, detail=f'{failure.detail}; {detail}'
-            )
-        return relay_model.Refusal(failure, retry_after_ms)
--- a/wigeonhatch/tracing/request.py
+++ b/wigeonhatch/tracing/request.py
@@ -27,6 +27,7 @@
     'target ejected': ('health', 'reason'),
     'target readmitted': ('health', 'target'),
     'target leaves': ('departure', 'source'),
+    'target paused': ('pause', 'duration_ms'),
     'target rate limit changed': ('rate limit', 'rate_limit'),
 }
 """Subject and displayed field of each message that changes the state of one
