--- a/tests/faults/events.py
+++ b/tests/faults/events.py
@@ -139,7 +139,7 @@
 
 async def crash_target(fleet: fleets.Fleet, rng: random.Random) -> None:
     """Crash a target; its row expires and then a new target starts."""
-    target = _choose_target(fleet, rng)
+    target = choose_target(fleet, rng)
     if target is None:
         return
     now_ms = fleet.clock.now_ms
@@ -181,7 +181,7 @@
 
 async def disrupt_target_link(fleet: fleets.Fleet, rng: random.Random) -> None:
     """Delay, reset or stall the connections to a target."""
-    target = _choose_target(fleet, rng)
+    target = choose_target(fleet, rng)
     if target is None:
         return
     duration_s = rng.uniform(0.3, 5.0)
@@ -205,7 +205,7 @@
 
 async def drain_target(fleet: fleets.Fleet, rng: random.Random) -> None:
     """Drain a target and reuse its address for another one later."""
-    target = _choose_target(fleet, rng)
+    target = choose_target(fleet, rng)
     if target is None:
         return
     fleet.targets.remove(target)
@@ -215,6 +215,13 @@
         fleet.ledger.leaving_ms_by_target[target.name] = fleet.clock.now_ms
     else:
         fleet.unregister(target)
+    await leave(fleet, target, rng)
+
+
+async def leave(
+    fleet: fleets.Fleet, target: targets.Target, rng: random.Random
+) -> None:
+    """End a leaving target and reuse its address for another one."""
     await asyncio.sleep((bounds.DRAIN_MS + rng.randint(500, 3_000)) / 1_000)
     fleet.unregister(target)
     target.close()
@@ -250,7 +257,7 @@
     """Make one target after the other state a rate limit until cancelled."""
     while True:
         await asyncio.sleep(rng.uniform(0.0, 3.0))
-        target = _choose_target(fleet, rng)
+        target = choose_target(fleet, rng)
         if target is not None:
             target.limit_rate(rng.choice((0.5, 2.0, 8.0)))
             await asyncio.sleep(rng.uniform(5.0, 10.0))
@@ -350,7 +357,7 @@
 )
 
 
-def _choose_target(
+def choose_target(
     fleet: fleets.Fleet, rng: random.Random
 ) -> targets.Target | None:
     """Choose a target; None if its service has too few others."""
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -19,6 +19,7 @@
 from tests.faults import callers
 from tests.faults import events
 from tests.faults import fleet as fleets
+from tests.faults import statement_events
 
 _START_TIMEOUT_S = 30
 _RECOVERY_CHECK_S = 4.0
@@ -121,6 +122,12 @@
             # A random number generator of its own keeps the other events of
             # a seed.
             events.limit_rates(fleet, random.Random(f'{seed}/rates')),
+            statement_events.state_departures(
+                fleet, random.Random(f'{seed}/departures'), seconds
+            ),
+            statement_events.ask_for_pauses(
+                fleet, random.Random(f'{seed}/pauses'), seconds
+            ),
             *(
                 []
                 if planned_only
--- a/tests/faults/test_target_statements.py
+++ b/tests/faults/test_target_statements.py
@@ -69,6 +69,7 @@
                 task.cancel()
             fleet.stop()
         ledger = fleet.ledger
+        ledger.check_retries()
         return [
             ledger.outcome_by_id[item.request_id]
             for item in ledger.request_by_id.values()
