Read changed settings also without a signal

The settings file of a host may change without SIGHUP. Nothing looked at it then, so that new bounds and seeds were in use only after a restart.

Change: SettingsReloader reads the file every 2 s and applies it if it differs; unusable content is logged once and leaves the settings in use.

Test: test_settings_are_read_again changes the file without a signal; it failed before (1 of 2 changes in use). The task is among those whose errors must not end the daemon.

--- a/tests/end_to_end/test_edge.py
+++ b/tests/end_to_end/test_edge.py
@@ -308,8 +308,15 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+SETTINGS_S = 4.0
+"""Time in which changed settings are in use without a signal."""
+
+
 def test_settings_are_read_again(tmp_path: pathlib.Path) -> None:
-    """Guards against a host that fails when its settings are reloaded."""
+    """Guards against a host that fails when its settings are reloaded.
+
+    The last change comes without a signal.
+    """
 
     async def scenario(deployment: deployments.Deployment) -> None:
         edge = await deployment.start()
@@ -320,8 +327,10 @@
             await anyio.sleep(0.5)
             status, _ = await deployment.call(deployment.port, '/r/a')
             assert status == 200
+        deployment.settings_path.write_text(text)
+        await anyio.sleep(SETTINGS_S)
         log = deployment.log_path.read_text()
-        assert '"settings read again", "changed": ["bounds"]' in log
+        assert log.count('"settings read again", "changed": ["bounds"]') == 2
         assert 'settings unusable' in log
 
     deployments.run_scenario(tmp_path, scenario)
--- a/tests/entry/test_edge_daemon.py
+++ b/tests/entry/test_edge_daemon.py
@@ -22,6 +22,7 @@
     'reach.TargetReach.run': 'target probes',
     'quarantine_store.QuarantineStore.run_once': 'quarantines',
     'table_follower.TableFollower._poll': 'follower of servers',
+    'settings_reload.SettingsReloader.run': 'settings',
 }
 _PACKAGE_BY_MODULE = {'state_link': 'peers', 'reach': 'targets'}
 _TIMEOUT_S = 5
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -13,7 +13,6 @@
 
 from wigeonhatch import clock as clocks
 from wigeonhatch import log
-from wigeonhatch import outcome
 from wigeonhatch import supervision
 from wigeonhatch.balance import ejection
 from wigeonhatch.balance import host_weight
@@ -34,6 +33,7 @@
 from wigeonhatch.entry import quarantine_store
 from wigeonhatch.entry import retry_share
 from wigeonhatch.entry import runner
+from wigeonhatch.entry import settings_reload
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
 from wigeonhatch.peers import region_fractions
@@ -61,10 +61,6 @@
 """TTL of a lookup result; callers stop using a stopped host after it."""
 _LOG = logging.getLogger(__name__)
 
-ReadSettings = collections.abc.Callable[
-    [], outcome.Success[edge_settings.EdgeSettings] | outcome.Failure
-]
-
 
 class EdgeDaemon:
     """Entry host that relays requests and answers lookups of serving hosts.
@@ -79,10 +75,12 @@
         self,
         settings: edge_settings.EdgeSettings,
         clock: clocks.Clock,
-        read_settings: ReadSettings,
+        read_settings: settings_reload.ReadSettings,
     ) -> None:
         self._settings = settings
-        self._read_settings = read_settings
+        self._reloader = settings_reload.SettingsReloader(
+            settings, read_settings, self._apply_settings, clock
+        )
         self._clock = clock
         self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._is_stopping = False
@@ -266,6 +264,7 @@
                 ('adjustments', self._run_adjustments),
                 ('target probes', self._reach.run),
                 ('quarantines', self._quarantine_store.run),
+                ('settings', self._reloader.run),
             ):
                 tasks.start_soon(self._supervisor.run, name, run)
             # The default action of a signal that arrives during the stop would
@@ -273,7 +272,9 @@
             with anyio.open_signal_receiver(
                 signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as signals:
-                await edge_signals.wait_for_stop(signals, self._reload)
+                await edge_signals.wait_for_stop(
+                    signals, self._reloader.reload
+                )
                 self._is_stopping = True
                 self._relay.is_stopping = True
                 await edge_stop.stop_gracefully(
@@ -302,15 +303,8 @@
             fractions_by_region=self._fractions.report,
         )
 
-    def _reload(self) -> None:
-        """Reload bounds and seeds; other settings need a restart."""
-        result = self._read_settings()
-        if isinstance(result, outcome.Failure):
-            log.event(_LOG, 'settings unusable', reason=result.detail)
-            return
-        settings = result.value
-        changed = edge_settings.changed_fields(self._settings, settings)
-        log.event(_LOG, 'settings read again', changed=changed)
+    def _apply_settings(self, settings: edge_settings.EdgeSettings) -> None:
+        """Use new bounds and seeds; other settings need a restart."""
         self._settings = dataclasses.replace(
             self._settings, bounds=settings.bounds, seeds=settings.seeds
         )
@@ -380,7 +374,8 @@
 
 
 def run_edge(
-    settings: edge_settings.EdgeSettings, read_settings: ReadSettings
+    settings: edge_settings.EdgeSettings,
+    read_settings: settings_reload.ReadSettings,
 ) -> int:
     """Run the daemon until SIGTERM.
 
