Name at most 64 hosts in a lookup

Callers accept up to 64 addresses.

Change: with more hosts, each caller gets the 64 that rank first for it by rendezvous hashing, so that it keeps its connections and all hosts are named.

Test: test_lookup_in_a_large_region_returns_what_callers_accept failed before with 101 addresses.

--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -195,6 +195,22 @@
         assert addresses == ['10.0.0.2:80']
 
 
+def test_lookup_in_a_large_region_returns_what_callers_accept() -> None:
+    """Guards against lookups that fail since they name too many hosts."""
+    harness = _FleetHarness()
+    for number in range(2, 102):
+        harness.receive_state(f'h{number}', 'a')
+    found: set[str] = set()
+    for caller in (f'c{number}' for number in range(40)):
+        addresses = harness.fleet.selector.select_addresses('a', caller)
+        assert len(addresses) == len(set(addresses)) == 64
+        assert harness.fleet.selector.select_addresses('a', caller) == (
+            addresses
+        )
+        found |= set(addresses)
+    assert len(found) == 101
+
+
 def test_peer_states_update_loads_roster_and_versions() -> None:
     """Guards against peers whose loads are not taken from their states."""
     harness = _FleetHarness()
--- a/wigeonhatch/entry/host_selector.py
+++ b/wigeonhatch/entry/host_selector.py
@@ -14,6 +14,10 @@
 from wigeonhatch.peers import state_link
 from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine as quarantines
+from wigeonhatch.steering import rendezvous
+
+MAX_ADDRESSES = 64
+"""Addresses that callers accept in a lookup."""
 
 
 class HostSelector:
@@ -144,9 +148,9 @@
             caller: Identity of the caller.
 
         Returns:
-            Addresses of serving hosts in the region, or in all if it has none.
-            Hosts that do not reach the targets are left out, unless no host
-            does.
+            Addresses of serving hosts in the region, or in all if it has none;
+            `MAX_ADDRESSES` at most. Hosts that do not reach the targets are
+            left out, unless no host does.
         """
         own = self._settings
         serving = [
@@ -167,12 +171,16 @@
         for host_region, address, report in reaching or serving:
             weights_by_region[host_region][address] = report.weight
         if region in weights_by_region:
-            return host_weight.select_hosts(weights_by_region[region], caller)
-        return [
+            weights_by_region = {region: weights_by_region[region]}
+        addresses = [
             address
             for weights in weights_by_region.values()
             for address in host_weight.select_hosts(weights, caller)
         ]
+        if len(addresses) <= MAX_ADDRESSES:
+            return addresses
+        # The same hosts each time, so that the caller keeps its connections.
+        return rendezvous.rank(addresses, caller)[:MAX_ADDRESSES]
 
 
 def _group(
