--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -81,3 +81,23 @@
         and hasattr(value, '__pydantic_validator__')
     }
     assert dataclass_names == set(names)
+
+
+def test_table_of_promises_names_existing_code() -> None:
+    """Guards against promises whose module or test is gone."""
+    root = DOCS.parent
+    text = (DOCS / 'invariants.md').read_text()
+    text = text[text.index('## The daemon on a platform') :]
+    text = text[: text.index('## Not proved yet')]
+    path = ''
+    names = re.findall(r'`((?:\w+/)*\w+\.py)?(?:::(test_\w+))?`', text)
+    assert names
+    for named_path, test in names:
+        path = named_path or path
+        found = [
+            root / folder / path
+            for folder in ('wigeonhatch', 'tests')
+            if (root / folder / path).exists()
+        ]
+        assert found, path
+        assert not test or f'def {test}(' in found[0].read_text(), test
