Try the targets of a region again after all of them have failed

A region whose targets of a service had all failed for a moment, or had all asked for a pause, got no more requests of its callers while another region had room: they went on to wait for the way there and back.

Cause: targets that are suspected count as no slots, so that the plan gives the region nothing, and the only requests that could find out whether they serve again go to the first region with room.

Change: if the own region has no slots, its targets are asked first. Each gets one trial at a time, as after any ejection; if none is due, the request goes elsewhere without delay.

Tests: test_targets_of_a_region_that_all_failed_are_tried_again and test_region_serves_again_after_the_pauses_of_all_its_targets failed before.

--- a/tests/balance/test_pauses.py
+++ b/tests/balance/test_pauses.py
@@ -88,6 +88,23 @@
     assert isinstance(scene.pick(), pickers.Pick)
 
 
+def test_region_serves_again_after_the_pauses_of_all_its_targets() -> None:
+    """Guards against a region that is lost while others have room."""
+    scene = _build_scene('a1', 'a2', 'b1', 'b1')
+    for name in ('t0', 't1'):
+        _pause(scene, name, 3_000)
+    scene.clock.advance(3_000)
+    scene.picker.adjust_splits({})
+    for _ in range(2):
+        trial = scene.pick()
+        assert isinstance(trial, pickers.Pick)
+        assert trial.target.domain in ('a1', 'a2')
+        scene.ejections.on_start(trial.target.name)
+    other = scene.pick()
+    assert isinstance(other, pickers.Pick)
+    assert other.target.domain == 'b1'
+
+
 def test_pause_is_bounded_and_ends_with_the_incarnation() -> None:
     """Guards against a target that is lost to a mistake or by a restart."""
     clock = clocks.ManualClock()
--- a/tests/balance/test_region_selector.py
+++ b/tests/balance/test_region_selector.py
@@ -8,6 +8,8 @@
 import pytest
 
 from tests.balance import harness as harnesses
+from wigeonhatch.balance import ejection
+from wigeonhatch.balance import picker as pickers
 from wigeonhatch.balance import region_selector
 
 REGION_BY_DOMAIN = {'a1': 'a', 'b1': 'b', 'c1': 'c'}
@@ -100,6 +102,26 @@
         selector.on_request('board', 'b', 'b')
 
 
+def test_targets_of_a_region_that_all_failed_are_tried_again() -> None:
+    """Guards against a region that is lost while others have room."""
+    scene = harnesses.PickerHarness(
+        harnesses.build_target(f't{number}', domain)
+        for number, domain in enumerate(('a1', 'b1', 'b1'))
+    )
+    for _ in range(ejection.MAX_CONSECUTIVE_FAILURES):
+        scene.ejections.on_failure('t0', False, 'x')
+    scene.clock.advance(ejection.FIRST_EJECTION_MS)
+    for _ in range(20):
+        scene.picker.adjust_splits({})
+    trial = scene.pick()
+    assert isinstance(trial, pickers.Pick)
+    assert trial.target.name == 't0'
+    scene.ejections.on_start('t0')
+    other = scene.pick()
+    assert isinstance(other, pickers.Pick)
+    assert other.target.domain == 'b1'
+
+
 def test_requests_of_lost_slots_leave_a_full_region() -> None:
     """Guards against refusals because targets of the region have failed."""
     harness, selector = _build('a1', 'a1', 'b1', 'c1')
--- a/wigeonhatch/balance/region_selector.py
+++ b/wigeonhatch/balance/region_selector.py
@@ -127,18 +127,20 @@
         first = split.choose(
             self._limit.correct(split.fractions_among(regions)), affinity_key
         )
+        # A region of which all targets have failed holds no others back.
+        slots = self._slots_by_service.get(service, {})
+        usable = frozenset(region for region in regions if slots.get(region))
         order = sorted(
             regions,
             key=lambda region: (
+                # No other request would try its targets again.
+                region != own or own in usable,
                 region != first,
                 region != own,
                 -split.fraction_by_region.get(region, 0.0),
                 region,
             ),
         )
-        # A region of which all targets have failed holds no others back.
-        slots = self._slots_by_service.get(service, {})
-        usable = frozenset(region for region in regions if slots.get(region))
         if own not in usable or len(order) == 1:
             return first, iter(order)
         return first, (
