Keep paused targets on trial when the links of a host return

A host that reaches its targets again readmits all of them, since failures were those of its links. A target that asked for a pause has responded; taken for room, it held back the requests of its region under the cap for the rest of the pause. Requests that may be sent to one target only may try a paused target again too: a service may have no others.

Test: test_paused_target_stays_on_trial_when_links_return failed before.

--- a/tests/balance/test_ejection.py
+++ b/tests/balance/test_ejection.py
@@ -69,6 +69,17 @@
     assert waited_ms == ejection.MAX_EJECTION_MS
 
 
+def test_paused_target_stays_on_trial_when_links_return() -> None:
+    """Guards against a paused target that counts as room in its region."""
+    table = ejection.EjectionTable(clocks.ManualClock())
+    table.on_pause('t1')
+    for _ in range(2):
+        table.on_failure('t2', False, 'x')
+    table.clear()
+    assert table.is_suspect('t1')
+    assert not table.is_suspect('t2')
+
+
 def test_record_of_healthy_target_is_removed() -> None:
     """Guards against failure records that are never removed."""
     table = ejection.EjectionTable(clocks.ManualClock())
--- a/wigeonhatch/balance/ejection.py
+++ b/wigeonhatch/balance/ejection.py
@@ -176,8 +176,15 @@
         )
 
     def clear(self) -> None:
-        """Readmit all targets, since failures were not their own."""
-        self._health_by_target.clear()
+        """Readmit all targets that failed, since it was not their fault.
+
+        Those that asked for a pause have responded.
+        """
+        self._health_by_target = {
+            target: health
+            for target, health in self._health_by_target.items()
+            if health.has_refused
+        }
 
     def retain(self, targets: frozenset[str]) -> None:
         """Discard the results of targets that are no longer listed.
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -181,7 +181,7 @@
                     request,
                     remaining_ms,
                     self._loads.duration_ms(request.service, True),
-                    self._can_retry(request, history, body),
+                    self._can_retry(request, history),
                 ),
                 history.tried_targets,
             )
@@ -206,14 +206,16 @@
         self,
         request: relay_model.RelayRequest,
         history: relay_model.AttemptHistory,
-        body: bodies.RequestBody,
     ) -> bool:
-        """Tell whether another target may be tried if the next one refuses."""
-        return (
-            body.is_replayable
-            and history.send_count + 1 < request.route.max_attempts
-            and self._budget_by_service[request.service].has_token
-        )
+        """Tell whether another target may be tried if the next one refuses.
+
+        Requests that are sent to one target only count as well, since there
+        may be no others to find out which targets serve again.
+        """
+        max_attempts = request.route.max_attempts
+        is_last = max_attempts > 1 and history.send_count + 1 >= max_attempts
+        budget = self._budget_by_service[request.service]
+        return budget.has_token and not is_last
 
     def _may_retry(
         self,
