Give targets of the soak one start, and test departures under a restore

A target of the soak wrote its start as the time of day less its age, which differs by a millisecond from one write to the next, so that its host took it for a new incarnation. In a run with a restored store this looked like a departure that was forgotten (one request 2,558 ms after it). The start is kept now; the check stays.

--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -295,7 +295,7 @@
             target.name,
             {
                 'address': target.proxy.address,
-                'born': self.clock.wall_ms - age_ms,
+                'born': target.born_ms,
                 'info': {
                     'service': target.service,
                     'version': 'v1',
--- a/tests/faults/target.py
+++ b/tests/faults/target.py
@@ -77,6 +77,7 @@
         self.rate_limit_per_s: float | None = None
         self._pause_ms = 0
         self.started_ms = clock.now_ms
+        self.born_ms = clock.wall_ms
         self._ledger = ledger
         self._clock = clock
         self._rng = rng
--- a/tests/faults/test_target_statements.py
+++ b/tests/faults/test_target_statements.py
@@ -11,6 +11,7 @@
 
 from tests.faults import bounds
 from tests.faults import callers
+from tests.faults import events
 from tests.faults import fleet as fleets
 from tests.faults import ledger as ledgers
 from tests.faults import run
@@ -24,6 +25,11 @@
 """Targets of each service, one in each domain."""
 
 
+Trouble = collections.abc.Callable[
+    [fleets.Fleet], collections.abc.Coroutine[None, None, None]
+]
+
+
 class _Scene:
     """Fleet with callers while some targets state something."""
 
@@ -36,6 +42,7 @@
         count: int,
         state: collections.abc.Callable[[targets.Target], None],
         is_store_down: bool = False,
+        trouble: Trouble | None = None,
     ) -> list[ledgers.Outcome]:
         """Let targets state something and return what callers got then.
 
@@ -43,6 +50,7 @@
             count: Targets of each service that state it.
             state: Lets a target state it from now on.
             is_store_down: Whether the store is down from then on.
+            trouble: Disturbs the fleet then.
         """
         fleet = self.fleet
         tasks: list[asyncio.Task[None]] = []
@@ -63,6 +71,8 @@
             if is_store_down:
                 fleet.application.store.faults.is_down = True
             self.stated_ms = fleet.clock.now_ms
+            if trouble is not None:
+                await trouble(fleet)
             await asyncio.sleep(STATED_S)
         finally:
             for task in tasks:
@@ -103,6 +113,33 @@
         assert {item.status for item in outcomes} <= {200, 503}
 
 
+async def _restore_and_kill(fleet: fleets.Fleet) -> None:
+    """Restore the store from a copy, and kill some hosts before and after."""
+    store = fleet.application.store
+    copy = store.copy()
+    for host in fleet.hosts[:2]:
+        events.kill(fleet, host)
+        fleet.spawn(host)
+    fleet.write_configuration()
+    await asyncio.sleep(1.0)
+    store.restore(copy)
+    now_ms = fleet.clock.now_ms
+    fleet.disturb((ledgers.STORE,), now_ms, now_ms)
+    await fleet.write_again()
+    for host in fleet.hosts[2:4]:
+        events.kill(fleet, host)
+        fleet.spawn(host)
+
+
+def test_departures_outlast_a_restore_and_restarts(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a departure that ends with what the store has lost."""
+    scene = _Scene(tmp_path)
+    asyncio.run(scene.run(2, _leave, trouble=_restore_and_kill))
+    assert scene.fleet.ledger.violations == []
+
+
 @pytest.mark.parametrize('retry_after', ['0.2', '3', '60'])
 @pytest.mark.parametrize('count', [2, TARGETS])
 def test_targets_that_ask_for_a_pause_get_one(
