Account for every request and connection of a host that stops

The record of the incident cannot tell whether a lost request ended without a line, whether its line was lost, or whether its response stayed in a buffer: a cancelled request left no line of its own, lines that were dropped were counted nowhere, and nothing looked at the transports.

Change: lines for attempts and requests that end without a result; at the signal and at the end of a stop one line with all requests by result, the connections by the stage of their exchange, the bytes in their buffers and the number of missing log lines. A ledger holds the connections of callers and peers.

--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
+import contextlib
+import dataclasses
 import json
+import logging
 import typing
 
 import anyio
@@ -173,3 +177,34 @@
     assert call.relay.requests == []
     call.application.end_ms += 1
     assert call.run().status == RELAYED.status
+
+
+def test_every_request_has_a_result(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a request that ends without a log line."""
+    caplog.set_level(logging.INFO)
+    call = Call(RELAYED)
+    call.run()
+
+    async def run(*arguments: object) -> typing.Any:
+        raise asyncio.CancelledError
+
+    call.relay.run = run  # type: ignore[method-assign]
+    with contextlib.suppress(asyncio.CancelledError):
+        call.run()
+    refused = Call(RELAYED, path='/unknown')
+    refused.run()
+    total = call.application.counts
+    total.add(refused.application.counts)
+    assert dataclasses.asdict(total) == {
+        'received': 3,
+        'served': 1,
+        'refused': 1,
+        'cut': 1,
+    }
+    assert total.in_progress == 0
+    lines = [
+        vars(record)['event_fields']['request_id']
+        for record in caplog.records
+        if record.message in ('request cut', 'request refused')
+    ]
+    assert lines == ['r1', 'r1']
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -33,11 +33,13 @@
 from wigeonhatch.entry import retry_share
 from wigeonhatch.entry import runner
 from wigeonhatch.entry import settings_reload
+from wigeonhatch.entry import stop_account
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
 from wigeonhatch.peers import region_fractions
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
+from wigeonhatch.requests import connection_ledger
 from wigeonhatch.requests import edge as edges
 from wigeonhatch.requests import peer_forwarder
 from wigeonhatch.requests import quarantine
@@ -84,7 +86,10 @@
         self._rng = random.Random(f'{settings.host}/{clock.wall_ms}')
         self._is_stopping = False
         self._supervisor = supervision.Supervisor(clock)
-        self._protocol = request_server.build_protocol(settings.limits)
+        self._ledger = connection_ledger.ConnectionLedger()
+        self._protocol = request_server.build_protocol(
+            settings.limits, self._ledger
+        )
         self._metrics = collector.Metrics(clock)
         self._store = stores.StoreClient(settings.store_address)
         self._routes = tables.RouteTable()
@@ -207,20 +212,16 @@
             ),
             clock,
         )
-        self._application = edges.EdgeApplication(
-            self._routes,
-            self._relay,
-            self._find_target_region,
-            self._on_finished,
-            clock,
-        )
-        self._peer_application = edges.EdgeApplication(
-            self._routes,
-            self._relay,
-            self._find_target_region,
-            self._on_finished,
-            clock,
-            is_for_peers=True,
+        self._application, self._peer_application = (
+            edges.EdgeApplication(
+                self._routes,
+                self._relay,
+                self._find_target_region,
+                self._on_finished,
+                clock,
+                is_for_peers,
+            )
+            for is_for_peers in (False, True)
         )
 
     @property
@@ -276,6 +277,7 @@
                 )
                 self._is_stopping = True
                 self._relay.is_stopping = True
+                self._log_account('stopping')
                 await edge_stop.stop_gracefully(
                     [self._application, self._peer_application],
                     servers,
@@ -284,9 +286,15 @@
                     self._settings.bounds.stop_grace,
                     self._clock,
                 )
+            self._log_account('stopped')
             tasks.cancel_scope.cancel()
         self._fleet.close()
-        log.event(_LOG, 'stopped', in_progress=self._application.in_progress)
+
+    def _log_account(self, message: str) -> None:
+        applications = (self._application, self._peer_application)
+        stop_account.log_account(
+            message, (item.counts for item in applications), self._ledger
+        )
 
     def _build_report(self) -> state_link.HostReport:
         config = self._routes.config
--- a/wigeonhatch/entry/edge_stop.py
+++ b/wigeonhatch/entry/edge_stop.py
@@ -25,9 +25,12 @@
     It refuses requests that may last beyond `end_ms`.
     """
 
-    in_progress: int
     end_ms: int | None
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not been answered."""
+
 
 class Server(typing.Protocol):
     """Server that ends once its requests have ended."""
--- a/wigeonhatch/log.py
+++ b/wigeonhatch/log.py
@@ -79,6 +79,7 @@
         super().__init__()
         self._max_per_s = max_per_s
         self._now_s = now_s
+        self.dropped_lines = 0
         self._second = 0
         self._count_by_message: collections.Counter[str] = (
             collections.Counter()
@@ -101,6 +102,7 @@
         self._count_by_message[message] += 1
         if self._count_by_message[message] > self._max_per_s:
             self._dropped_by_message[message] += 1
+            self.dropped_lines += 1
             return False
         record.dropped = self._dropped_by_message.pop(message, 0)
         return True
@@ -179,6 +181,20 @@
         logger.info(message, extra={'event_fields': fields})
 
 
+def count_missing_lines() -> int:
+    """Count the lines that were dropped since the start."""
+    return sum(
+        handler.dropped_lines
+        + sum(
+            item.dropped_lines
+            for item in handler.filters
+            if isinstance(item, RateFilter)
+        )
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, NonBlockingHandler)
+    )
+
+
 def redact(secret: str) -> None:
     """Redact a credential in all later lines of the log.
 
--- a/wigeonhatch/requests/_attempt_log.py
+++ b/wigeonhatch/requests/_attempt_log.py
@@ -10,6 +10,7 @@
 from wigeonhatch.balance import picker as pickers
 from wigeonhatch.requests import fingerprint
 from wigeonhatch.requests import relay_model
+from wigeonhatch.targets import registry
 
 _LOG = logging.getLogger(__name__)
 
@@ -75,3 +76,27 @@
             else f'{result.code.name}: {result.detail}'
         ),
     )
+
+
+def log_interrupted(
+    request: relay_model.RelayRequest,
+    target: registry.TargetRecord,
+    elapsed_ms: int,
+    error: BaseException,
+) -> None:
+    """Log an attempt that ended without a result, as its task did.
+
+    Args:
+        request: The request.
+        target: Target that may be running it.
+        elapsed_ms: Time since the start of the attempt in ms.
+        error: What ended the task.
+    """
+    log.event(
+        _LOG,
+        'attempt interrupted',
+        request_id=request.id_text,
+        target=target.name,
+        took_ms=elapsed_ms,
+        reason=repr(error),
+    )
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -21,6 +21,7 @@
 from wigeonhatch.requests import model
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import relay_model
+from wigeonhatch.requests import request_counts
 from wigeonhatch.routes import model as routes_model
 from wigeonhatch.routes import table as tables
 
@@ -71,7 +72,7 @@
         is_for_peers: Whether it takes requests that peers forward.
 
     Attributes:
-        in_progress: Number of requests that have not been answered.
+        counts: Requests since the start, by result.
         end_ms: Time on the monotonic clock in ms at which the host ends the
             requests in progress; None unless it stops. Requests that may
             last longer are refused.
@@ -86,7 +87,7 @@
         clock: clocks.Clock,
         is_for_peers: bool = False,
     ) -> None:
-        self.in_progress = 0
+        self.counts = request_counts.RequestCounts()
         self.end_ms: int | None = None
         self._routes = routes
         self._relay = relay
@@ -95,6 +96,11 @@
         self._clock = clock
         self._is_for_peers = is_for_peers
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not been answered."""
+        return self.counts.in_progress
+
     async def __call__(
         self,
         scope: _asgi.Scope,
@@ -110,18 +116,25 @@
         """
         if scope['type'] != 'http':
             return
-        self.in_progress += 1
+        self.counts.received += 1
         try:
-            await self._serve(scope, receive, send)
-        finally:
-            self.in_progress -= 1
+            is_served = await self._serve(scope, receive, send)
+        except BaseException as error:
+            self.counts.cut += 1
+            _log_cut(scope, error)
+            raise
+        if is_served:
+            self.counts.served += 1
+        else:
+            self.counts.refused += 1
 
     async def _serve(
         self,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
         send: _asgi.Send,
-    ) -> None:
+    ) -> bool:
+        """Serve one request; return whether a target's response was sent."""
         received_ms = self._clock.now_ms
         reply = _asgi.AsgiReply(send, scope['method'] == 'HEAD')
         control = model.RequestControl()
@@ -150,6 +163,7 @@
             received_ms,
             length if isinstance(length, int) else 0,
         )
+        return isinstance(result, relay_model.Response)
 
     def _limits(self) -> routes_model.CallerLimits:
         config = self._routes.config
@@ -326,6 +340,16 @@
         )
 
 
+def _log_cut(scope: _asgi.Scope, error: BaseException) -> None:
+    caller_fields = messages.read_caller_fields(dict(scope['headers']))
+    log.event(
+        _LOG,
+        'request cut',
+        request_id=caller_fields.id_text,
+        reason=repr(error),
+    )
+
+
 def _describe(
     result: relay_model.Response | relay_model.Refusal,
 ) -> forward_fields.Decision:
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -281,6 +281,11 @@
                     self._buffered,
                 )
             cause = control.leave()
+        except BaseException as error:
+            _attempt_log.log_interrupted(
+                request, target, self._clock.now_ms - started_ms, error
+            )
+            raise
         finally:
             timer.stop()
             self._loads.finish(name)
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -12,9 +12,11 @@
 from wigeonhatch import codes
 from wigeonhatch import outcome
 from wigeonhatch import settings
+from wigeonhatch.platform import names
 from wigeonhatch.requests import _asgi
 from wigeonhatch.requests import _fields
 from wigeonhatch.requests import _replies
+from wigeonhatch.requests import connection_ledger
 
 KEEP_ALIVE_S = 30
 Application = collections.abc.Callable[
@@ -30,11 +32,13 @@
     """HTTP protocol with limits on connections and incomplete heads."""
 
     limits: settings.Limits
+    ledger: connection_ledger.ConnectionLedger
     keep_alive_s: float = KEEP_ALIVE_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection beyond the limit."""
         super().connection_made(typing.cast('asyncio.Transport', transport))
+        self.ledger.add(self)
         self._is_refused = False
         self._is_reading_head = False
         self._close_after_response = False
@@ -52,8 +56,41 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer of the closed connection."""
         self._stop_timer()
+        self.ledger.remove(self)
         super().connection_lost(exc)
 
+    def describe_exchange(self) -> connection_ledger.Exchange:
+        """Describe the latest exchange on the connection."""
+        headers = dict(self.headers or ())
+        return connection_ledger.Exchange(
+            self._stage,
+            headers.get(names.REQUEST_ID, b'').decode('ascii', 'replace'),
+            self._unsent_bytes,
+        )
+
+    @property
+    def _stage(self) -> connection_ledger.Stage:
+        cycle = self.cycle
+        if cycle is not None and not (
+            cycle.response_complete or self._is_refused
+        ):
+            return connection_ledger.Stage.RUNNING
+        if self._unsent_bytes:
+            return connection_ledger.Stage.SENDING
+        if self._is_refused or (cycle is not None and cycle.more_body):
+            return connection_ledger.Stage.DISCARDING
+        if self._is_reading_head:
+            return connection_ledger.Stage.RECEIVING
+        return connection_ledger.Stage.IDLE
+
+    @property
+    def _unsent_bytes(self) -> int:
+        try:
+            return self.transport.get_write_buffer_size()
+        except RuntimeError:
+            # uvloop refuses the call between an abort and `connection_lost`.
+            return 0
+
     def eof_received(self) -> None:
         """Refuse a body that is shorter than declared."""
         cycle = self.cycle
@@ -181,13 +218,24 @@
             self._timer = None
 
 
-def build_protocol(limits: settings.Limits) -> type[BoundedProtocol]:
+def build_protocol(
+    limits: settings.Limits,
+    ledger: connection_ledger.ConnectionLedger | None = None,
+) -> type[BoundedProtocol]:
     """Build a protocol class whose limits can be replaced while in use.
 
     Args:
         limits: Limits of the callers' interface.
+        ledger: Receives the connections.
     """
-    return type('LimitedProtocol', (BoundedProtocol,), {'limits': limits})
+    return type(
+        'LimitedProtocol',
+        (BoundedProtocol,),
+        {
+            'limits': limits,
+            'ledger': ledger or connection_ledger.ConnectionLedger(),
+        },
+    )
 
 
 def build_server_config(
