Exit only when every exchange with a caller has ended

Callers saw a response of a target that broke off in its middle around SIGTERM. The stop counted calls of the application, and a call ends when its response has been handed to the transport. Once no call was left the process waited 0.2 s and exited, whatever the transports still held.

Change: the stop waits until no connection has an open exchange, from the request that was read to the last byte in the transport's buffer; listeners and idle connections are closed at once in place of a fixed wait, so that a busy host exits about 0.2 s earlier.

--- a/tests/end_to_end/edge_deployment.py
+++ b/tests/end_to_end/edge_deployment.py
@@ -21,6 +21,7 @@
 STOP_GRACE_MS = 4_000
 SLOW_RESPONSE_MS = 600
 DELAY_MS_BY_PATH = {b'/slow': SLOW_RESPONSE_MS, b'/long': 2_800}
+LARGE_BODY = b'0123456789abcdef' * 250_000
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -40,7 +41,7 @@
 
 
 class Target:
-    """Target that responds with its name, after a delay for some paths."""
+    """Target that responds with its name; late or at length for some paths."""
 
     def __init__(self, name: str, port: int) -> None:
         self.name = name
@@ -70,11 +71,12 @@
                     if path in head:
                         await anyio.sleep(delay_ms / 1_000)
                 self.served_ids.append(request_id)
+                body = LARGE_BODY if b'/large' in head else self.name.encode()
                 await stream.send(
                     f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n'
                     'Response-Signature: s\r\n'
-                    f'Content-Length: {len(self.name)}\r\n\r\n'
-                    f'{self.name}'.encode()
+                    f'Content-Length: {len(body)}\r\n\r\n'.encode()
+                    + body
                 )
 
     def make_row(self, state: str = 'ready') -> dict[str, typing.Any]:
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -281,6 +281,7 @@
                 await edge_stop.stop_gracefully(
                     [self._application, self._peer_application],
                     servers,
+                    self._ledger,
                     self._fleet.leave,
                     DIRECTORY_TTL_MS,
                     self._settings.bounds.stop_grace,
--- a/wigeonhatch/entry/edge_stop.py
+++ b/wigeonhatch/entry/edge_stop.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import collections.abc
-import logging
 import typing
 
 import anyio
 
 from wigeonhatch import clock as clocks
-from wigeonhatch import log
+from wigeonhatch.entry import connection_close
+from wigeonhatch.requests import connection_ledger
 
 EXIT_MARGIN_MS = 400
 """Time before the forced termination at which the process exits itself."""
 RESPONSE_MARGIN_MS = 100
 """Time to answer a request that has reached its timeout."""
 _POLL_MS = 50
-_LOG = logging.getLogger(__name__)
 
 
 class Application(typing.Protocol):
@@ -32,15 +31,10 @@
         """Number of requests that have not been answered."""
 
 
-class Server(typing.Protocol):
-    """Server that ends once its requests have ended."""
-
-    should_exit: bool
-
-
 async def stop_gracefully(
     applications: collections.abc.Sequence[Application],
-    servers: collections.abc.Sequence[Server],
+    servers: collections.abc.Sequence[connection_close.Server],
+    ledger: connection_ledger.ConnectionLedger,
     leave: collections.abc.Callable[
         [], collections.abc.Coroutine[typing.Any, typing.Any, None]
     ],
@@ -48,7 +42,7 @@
     grace_ms: int,
     clock: clocks.Clock,
 ) -> None:
-    """Withdraw from the lookups and finish the requests in progress.
+    """Withdraw from the lookups and finish the exchanges in progress.
 
     Callers with an earlier lookup result are served until its TTL has expired
     and the host is idle. A request is accepted only if it ends before the
@@ -58,6 +52,7 @@
     Args:
         applications: Applications that receive requests.
         servers: Servers of the host.
+        ledger: Connections of the applications.
         leave: Withdraws the host from the lookups.
         ttl_ms: TTL of a lookup result in ms.
         grace_ms: Time until the forced termination in ms.
@@ -68,24 +63,20 @@
     for application in applications:
         application.end_ms = end_ms - RESPONSE_MARGIN_MS
 
-    def count_requests() -> int:
-        return sum(item.in_progress for item in applications)
+    def is_idle() -> bool:
+        is_running = any(item.in_progress for item in applications)
+        return not is_running and not ledger.open_exchanges()
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(leave)
         while clock.now_ms < end_ms:
             is_expired = clock.now_ms - started_ms > ttl_ms
-            if is_expired and not count_requests():
+            if is_expired and is_idle():
                 break
             await clock.sleep_ms(_POLL_MS)
         tasks.cancel_scope.cancel()
     for application in applications:
         application.end_ms = started_ms
-    for server in servers:
-        server.should_exit = True
-    while count_requests() and clock.now_ms < end_ms:
-        await clock.sleep_ms(_POLL_MS)
-    if count_requests():
-        log.event(_LOG, 'requests interrupted', count=count_requests())
-    # Lets the servers close their idle connections.
-    await clock.sleep_ms(EXIT_MARGIN_MS // 2)
+    await connection_close.close_connections(
+        servers, ledger, is_idle, end_ms, clock
+    )
--- a/wigeonhatch/entry/http_server.py
+++ b/wigeonhatch/entry/http_server.py
@@ -28,6 +28,19 @@
         """Install no signal handlers."""
         yield
 
+    def stop_accepting(self) -> None:
+        """Close the listeners and the idle connections at once.
+
+        `serve` does the same, but up to 0.1 s after `should_exit` is set.
+        """
+        self.should_exit = True
+        if not self.started:
+            return
+        for listener in self.servers:
+            listener.close()
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+
 
 class OptionalServer(HttpServer):
     """Serve an interface without which the daemon can do its work.
