Deliver the refusal of a request whose body is still being sent

A stopping host refuses uploads that it cannot finish and ends the connection. uvicorn closed it right after the refusal; bytes of the body that arrived then reset the connection, and the reset discards a refusal that the caller has not read. Callers may not repeat an upload after that.

Change: the connection is closed once the rest of the body has been read, or after 2 s, also when the response itself ends the connection. A response to a request with Connection: close states the close now.

--- a/tests/end_to_end/test_edge_stop.py
+++ b/tests/end_to_end/test_edge_stop.py
@@ -64,6 +64,31 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+def test_stop_delivers_the_refusal_of_a_body_that_is_still_sent(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a reset that discards the refusal of an upload."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        edge = await deployment.start()
+        edge.send_signal(signal.SIGTERM)
+        # With 3 s of timeout, requests are refused from 0.5 s on.
+        await anyio.sleep(1.0)
+        connection = open_connection(deployment)
+        connection.sendall(
+            b'POST /r/a HTTP/1.1\r\nHost: x.example\r\nRequest-Id: r1\r\n'
+            b'Content-Length: 100000\r\n\r\n'
+        )
+        for _ in range(10):
+            await anyio.sleep(0.05)
+            connection.sendall(b'x' * 10_000)
+        response = await anyio.to_thread.run_sync(read_all, connection)
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert await anyio.to_thread.run_sync(edge.wait) == 0
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_busy_host_ends_before_it_is_killed(tmp_path: pathlib.Path) -> None:
     """Guards against a stop that takes the whole grace on a slow processor.
 
--- a/tests/requests/test_connection_ledger.py
+++ b/tests/requests/test_connection_ledger.py
@@ -102,6 +102,21 @@
         await interface.wait_for()
 
 
+@scripted.run_on_uvloop
+async def test_early_response_is_not_reset() -> None:
+    """Guards against a refusal that is lost while its caller is sending."""
+    async with Interface().run() as interface:
+        caller = await anyio.connect_tcp('127.0.0.1', interface.port)
+        interface.release.set()
+        await caller.send(HEAD + b'Content-Length: 100000\r\n\r\n')
+        await interface.wait_for(Stage.DISCARDING)
+        for _ in range(10):
+            await caller.send(b'x' * 10_000)
+            await anyio.sleep(0.01)
+        assert (await caller.receive()).startswith(b'HTTP/1.1 503')
+        await interface.wait_for()
+
+
 @scripted.run_on_uvloop
 async def test_caller_that_leaves_is_no_open_exchange() -> None:
     """Guards against a stop that waits for a caller that has gone."""
--- a/wigeonhatch/requests/server.py
+++ b/wigeonhatch/requests/server.py
@@ -28,6 +28,19 @@
 _LINGER_S = 2.0
 
 
+class _CycleTransport:
+    """Transport of one request and its response.
+
+    uvicorn closes it at the end of a response that ends the connection. While
+    the caller is still sending, that would reset the connection.
+    """
+
+    def __init__(self, protocol: BoundedProtocol) -> None:
+        self.write = protocol.transport.write
+        self.is_closing = protocol.transport.is_closing
+        self.close = protocol.close_after_response
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """HTTP protocol with limits on connections and incomplete heads."""
 
@@ -41,7 +54,7 @@
         self.ledger.add(self)
         self._is_refused = False
         self._is_reading_head = False
-        self._close_after_response = False
+        self._is_ending = False
         self._head_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         if len(self.connections) > self.limits.max_connections:
@@ -59,6 +72,11 @@
         self.ledger.remove(self)
         super().connection_lost(exc)
 
+    def shutdown(self) -> None:
+        """Close the connection at once, or after its response."""
+        if self._stage is not connection_ledger.Stage.DISCARDING:
+            super().shutdown()
+
     def describe_exchange(self) -> connection_ledger.Exchange:
         """Describe the latest exchange on the connection."""
         headers = dict(self.headers or ())
@@ -139,16 +157,22 @@
         self._is_reading_head = False
         self._stop_timer()
         super().on_headers_complete()
-        # uvicorn would close the connection at the end of the response, which
-        # resets it if the caller is still sending.
-        self._close_after_response = not self.cycle.keep_alive
-        self.cycle.keep_alive = True
+        self.cycle.transport = typing.cast(
+            'asyncio.Transport', _CycleTransport(self)
+        )
+
+    def close_after_response(self) -> None:
+        """Close the connection, but read a request that was answered early."""
+        cycle = self.cycle
+        self._is_ending = True
+        if not (cycle.response_complete and cycle.more_body):
+            self.transport.close()
 
     def on_message_complete(self) -> None:
         """Keep the connection open once a refused body was read completely."""
         if self.cycle.response_complete:
             self._stop_timer()
-            if self._close_after_response:
+            if self._is_ending:
                 self.transport.close()
         super().on_message_complete()
 
@@ -157,8 +181,6 @@
         cycle = self.cycle
         if cycle.response_complete and cycle.more_body:
             self._start_timer(_LINGER_S, self.transport.close)
-        elif self._close_after_response:
-            self.transport.close()
         self.timeout_keep_alive = self.keep_alive_s  # type: ignore[assignment]
         super().on_response_complete()
 
