--- a/tests/entry/test_edge_stop.py
+++ b/tests/entry/test_edge_stop.py
@@ -62,6 +62,10 @@
     pass
 
 
+async def _fail() -> None:
+    raise RuntimeError('unexpected')
+
+
 class Scene:
     """Stop of a host with at most one request and one connection."""
 
@@ -118,3 +122,8 @@
         for record in records
         if record['msg'] == 'exchange cut'
     ] == [{'request_id': 'r1', 'stage': 'sending', 'unsent_bytes': 10}]
+
+
+def test_error_of_the_deregistration_interrupts_nothing() -> None:
+    """Guards against an error that ends the stop and all requests at once."""
+    assert Scene(ends_ms=3_000).stop(_fail) >= 3_000
