Ignore signals between the stop of a daemon and its exit

The receiver of signals closed before the process had ended, which restores the default actions: a further SIGTERM, SIGINT or SIGHUP killed the process with the last lines of its log.

Change: edge and entry ignore these signals from the end of the stop on; they are blocked while the receiver closes.

--- a/tests/end_to_end/test_edge_stop.py
+++ b/tests/end_to_end/test_edge_stop.py
@@ -8,6 +8,7 @@
 import time
 
 import anyio
+import pytest
 
 from tests.end_to_end import edge_deployment as deployments
 
@@ -89,6 +90,24 @@
     deployments.run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
+def test_signals_until_the_exit_do_not_kill_the_process(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guards against a signal that ends the process before its last lines."""
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        edge = await deployment.start()
+        edge.send_signal(signal.SIGTERM)
+        while edge.poll() is None:
+            edge.send_signal(number)
+            await anyio.sleep(0.005)
+        assert edge.returncode == 0
+        assert b'"stopped"' in deployment.log_path.read_bytes()
+
+    deployments.run_scenario(tmp_path, scenario)
+
+
 def test_busy_host_ends_before_it_is_killed(tmp_path: pathlib.Path) -> None:
     """Guards against a stop that takes the whole grace on a slow processor.
 
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import logging
 import signal
@@ -19,6 +20,7 @@
 from wigeonhatch.config import model
 from wigeonhatch.entry import control_plane as control_planes
 from wigeonhatch.entry import control_plane_view
+from wigeonhatch.entry import daemon_signals
 from wigeonhatch.entry import data_plane as data_planes
 from wigeonhatch.entry import http_server
 from wigeonhatch.entry import maintenance as maintenance_module
@@ -98,31 +100,26 @@
         operator_server = http_server.build_server(
             self._operators, self._settings.operator_address
         )
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(self._wait_for_signal)
-            await tasks.start(self._run_node)
-            tasks.start_soon(self._run_operators, operator_server)
-            tasks.start_soon(self._run_callers, caller_server, tasks)
-            tasks.start_soon(self._start_serving, tasks)
-            await self._stop_event.wait()
-            await self._stop(caller_server)
-            operator_server.should_exit = True
-            tasks.cancel_scope.cancel()
-
-    async def _wait_for_signal(
-        self,
-        *,
-        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+        with daemon_signals.receive() as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._wait_for_stop, signals)
+                await tasks.start(self._run_node)
+                tasks.start_soon(self._run_operators, operator_server)
+                tasks.start_soon(self._run_callers, caller_server, tasks)
+                tasks.start_soon(self._start_serving, tasks)
+                await self._stop_event.wait()
+                await self._stop(caller_server)
+                operator_server.should_exit = True
+                tasks.cancel_scope.cancel()
+
+    async def _wait_for_stop(
+        self, signals: collections.abc.AsyncIterable[signal.Signals]
     ) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            task_status.started()
-            async for number in signals:
-                _LOG.info('received %s', signal.Signals(number).name)
-                # Settings are read at the start only.
-                if number != signal.SIGHUP:
-                    self._stop_event.set()
+        async for number in signals:
+            _LOG.info('received %s', signal.Signals(number).name)
+            # Settings are read at the start only.
+            if number != signal.SIGHUP:
+                self._stop_event.set()
 
     async def _run_node(
         self,
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -5,7 +5,6 @@
 import dataclasses
 import logging
 import random
-import signal
 
 import anyio
 import anyio.abc
@@ -23,6 +22,7 @@
 from wigeonhatch.balance import statements
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import daemon_signals
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_servers
 from wigeonhatch.entry import edge_settings
@@ -267,11 +267,7 @@
                 ('settings', self._reloader.run),
             ):
                 tasks.start_soon(self._supervisor.run, name, run)
-            # The default action of a signal that arrives during the stop would
-            # end the process.
-            with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-            ) as signals:
+            with daemon_signals.receive() as signals:
                 await edge_signals.wait_for_stop(
                     signals, self._reloader.reload
                 )
