Write the buffered lines of the log before the process exits

With a reader that is slower than the log, up to 256 KiB of lines wait in the process; at the exit one write that does not block was tried, and the rest was lost. These are the lines on the last requests.

Change: the process waits for the reader at the exit, 0.1 s at most.

Measured: test_buffered_lines_outlast_a_slow_reader_at_the_exit; there was no such wait before.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -5,6 +5,8 @@
 import json
 import logging
 import os
+import threading
+import time
 
 import pytest
 
@@ -81,3 +83,43 @@
     finally:
         os.close(reader)
         os.close(writer)
+
+
+def test_buffered_lines_outlast_a_slow_reader_at_the_exit() -> None:
+    """Guards against the last lines of a process that are never written."""
+    reader, writer = os.pipe()
+    handler = log.NonBlockingHandler(writer)
+    handler.setFormatter(log.JsonFormatter())
+    record = logging.LogRecord('x', 20, 'x', 1, 'y' * 1_000, (), None)
+    count = 150
+    for _ in range(count):
+        handler.emit(record)
+    lines = bytearray()
+
+    def read_slowly() -> None:
+        while data := os.read(reader, 16_384):
+            lines.extend(data)
+            time.sleep(0.002)
+
+    thread = threading.Thread(target=read_slowly)
+    thread.start()
+    handler.drain(10_000)
+    os.close(writer)
+    thread.join()
+    os.close(reader)
+    assert lines.count(b'\n') == count
+
+
+def test_stalled_reader_does_not_delay_the_exit() -> None:
+    """Guards against a process that waits for a log that nobody reads."""
+    reader, writer = os.pipe()
+    try:
+        handler = log.NonBlockingHandler(writer)
+        record = logging.LogRecord('x', 20, 'x', 1, 'y' * 200_000, (), None)
+        handler.emit(record)
+        started_s = time.monotonic()
+        handler.drain(50)
+        assert time.monotonic() - started_s < 5
+    finally:
+        os.close(reader)
+        os.close(writer)
--- a/wigeonhatch/entry/runner.py
+++ b/wigeonhatch/entry/runner.py
@@ -8,7 +8,11 @@
 import anyio
 
 from wigeonhatch import codes
+from wigeonhatch import log
 
+LOG_DRAIN_MS = 100
+"""Longest wait for the reader of the log at the exit, a quarter of the time
+between the end of a stop and the forced termination."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -31,4 +35,6 @@
             raise
         _LOG.error('cannot start: %s', matched.exceptions)
         return codes.INFO_BY_CODE[codes.ResultCode.INTERNAL].exit_status
+    finally:
+        log.drain(LOG_DRAIN_MS)
     return 0
--- a/wigeonhatch/log.py
+++ b/wigeonhatch/log.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import re
+import select
 import time
 
 _EXTRA_FIELDS = ('request_id', 'code', 'service', 'host')
@@ -24,6 +25,7 @@
 
 MAX_LINES_PER_S = 200
 """Rate limit of each message; a host serves about 100 requests per second."""
+_DRAIN_POLL_MS = 10
 MAX_BUFFER_BYTES = 262_144
 """Size limit of the write buffer; holds about 10 s of log lines."""
 
@@ -140,6 +142,19 @@
         if self._buffer:
             self._write(self._buffer)
 
+    def drain(self, timeout_ms: int) -> None:
+        """Write the buffer; wait for a slow reader.
+
+        Args:
+            timeout_ms: Longest wait in ms. Lines that are left are lost.
+        """
+        end_s = time.monotonic() + timeout_ms / 1_000
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLOUT)
+        while self._buffer and time.monotonic() < end_s:
+            poller.poll(_DRAIN_POLL_MS)
+            self._write(self._buffer)
+
     def _write(self, data: bytes) -> None:
         try:
             written = os.write(self._descriptor, data)
@@ -195,6 +210,17 @@
     )
 
 
+def drain(timeout_ms: int) -> None:
+    """Write the lines that are buffered before the process exits.
+
+    Args:
+        timeout_ms: Longest wait for a slow reader in ms.
+    """
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, NonBlockingHandler):
+            handler.drain(timeout_ms)
+
+
 def redact(secret: str) -> None:
     """Redact a credential in all later lines of the log.
 
