Accept no request on an entry host after its last one has ended

Change: the stop refuses requests before it closes the listener, waits for open exchanges as edge does, and bounds forwarded requests by the same end. An error in a step of a stop is logged by one function for both daemons.

--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -54,3 +54,17 @@
             await supervisor.run('t', run)
 
     anyio.run(main)
+
+
+def test_error_of_a_step_does_not_end_the_stop(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a stop whose first step fails and cuts all requests."""
+
+    async def fail() -> None:
+        raise RuntimeError('unexpected')
+
+    anyio.run(supervision.run_step, 'handover', fail)
+    assert [vars(record)['event_fields'] for record in caplog.records] == [
+        {'step': 'handover'}
+    ]
--- a/wigeonhatch/entry/daemon.py
+++ b/wigeonhatch/entry/daemon.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 import signal
 import sys
@@ -17,6 +18,7 @@
 from wigeonhatch import log
 from wigeonhatch import outcome
 from wigeonhatch import settings as settings_module
+from wigeonhatch import supervision
 from wigeonhatch.config import model
 from wigeonhatch.entry import control_plane as control_planes
 from wigeonhatch.entry import control_plane_view
@@ -32,6 +34,7 @@
 from wigeonhatch.operators import service as operator_service
 from wigeonhatch.peers import records
 from wigeonhatch.platform import http_client
+from wigeonhatch.requests import connection_ledger
 from wigeonhatch.requests import server as request_server
 
 _LOG = logging.getLogger(__name__)
@@ -90,11 +93,12 @@
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
+        ledger = connection_ledger.ConnectionLedger()
         caller_server = http_server.HttpServer(
             request_server.build_server_config(
                 typing.cast(typing.Any, self._serve_caller),
                 self._settings.caller_address,
-                request_server.build_protocol(self._settings.limits),
+                request_server.build_protocol(self._settings.limits, ledger),
             )
         )
         operator_server = http_server.build_server(
@@ -108,7 +112,7 @@
                 tasks.start_soon(self._run_callers, caller_server, tasks)
                 tasks.start_soon(self._start_serving, tasks)
                 await self._stop_event.wait()
-                await self._stop(caller_server)
+                await self._stop(caller_server, ledger)
                 operator_server.should_exit = True
                 tasks.cancel_scope.cancel()
 
@@ -169,18 +173,26 @@
         control.membership.set_state(records.HostState.SERVING)
         _LOG.info('serving, config version %d', control.node.store.version)
 
-    async def _stop(self, caller_server: uvicorn.Server) -> None:
+    async def _stop(
+        self,
+        caller_server: http_server.HttpServer,
+        ledger: connection_ledger.ConnectionLedger,
+    ) -> None:
         self._is_stopping = True
-        if self._data_plane is not None:
-            await self._hand_over(self._data_plane)
-            await stops.finish_requests(
-                self._control,
-                self._data_plane,
-                self._settings.limits.stop_bound_ms,
-            )
-        caller_server.should_exit = True
-        # Lets the server close its idle connections.
-        await self._clock.sleep_ms(stops.CONNECTION_CLOSE_MS)
+        data_plane = self._data_plane
+        if data_plane is None:
+            caller_server.stop_accepting()
+            return
+        await supervision.run_step(
+            'handover', functools.partial(self._hand_over, data_plane)
+        )
+        await stops.finish_requests(
+            data_plane,
+            caller_server,
+            ledger,
+            self._settings.limits.stop_bound_ms,
+            self._clock,
+        )
 
     async def _hand_over(self, data_plane: data_planes.DataPlane) -> None:
         async with self._hand_over_lock:
--- a/wigeonhatch/entry/data_plane.py
+++ b/wigeonhatch/entry/data_plane.py
@@ -56,6 +56,15 @@
         """Requests in progress from callers and from other hosts."""
         return self.application.in_progress + self.forward_handler.in_progress
 
+    def accept_until(self, end_ms: int) -> None:
+        """Refuse requests of callers and peers with a later deadline.
+
+        Args:
+            end_ms: Time on the monotonic clock in ms.
+        """
+        self.application.end_ms = end_ms
+        self.forward_handler.end_ms = end_ms
+
     def configure(
         self,
         control: control_planes.ControlPlane,
--- a/wigeonhatch/entry/edge_stop.py
+++ b/wigeonhatch/entry/edge_stop.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import collections.abc
-import logging
 import typing
 
 import anyio
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import supervision
 from wigeonhatch.entry import connection_close
 from wigeonhatch.requests import connection_ledger
 
@@ -17,7 +17,6 @@
 RESPONSE_MARGIN_MS = 100
 """Time to answer a request that has reached its timeout."""
 _POLL_MS = 50
-_LOG = logging.getLogger(__name__)
 
 
 class Application(typing.Protocol):
@@ -68,7 +67,7 @@
         return not is_running and not ledger.open_exchanges()
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_leave, leave)
+        tasks.start_soon(supervision.run_step, 'deregistration', leave)
         while clock.now_ms < end_ms:
             is_expired = clock.now_ms - started_ms > ttl_ms
             if is_expired and is_idle():
@@ -80,13 +79,3 @@
     await connection_close.close_connections(
         servers, ledger, is_idle, end_ms, clock
     )
-
-
-async def _leave(
-    leave: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-) -> None:
-    """Withdraw the host; an error must not cancel the stop."""
-    try:
-        await leave()
-    except Exception:
-        _LOG.exception('deregistration failed')
--- a/wigeonhatch/entry/stop.py
+++ b/wigeonhatch/entry/stop.py
@@ -4,13 +4,14 @@
 
 import logging
 
+from wigeonhatch import clock as clocks
 from wigeonhatch.config import model
+from wigeonhatch.entry import connection_close
 from wigeonhatch.entry import control_plane as control_planes
 from wigeonhatch.entry import data_plane as data_planes
 from wigeonhatch.peers import records
+from wigeonhatch.requests import connection_ledger
 
-CONNECTION_CLOSE_MS = 200
-"""Time for the server to close its idle connections."""
 _RESPONSE_MARGIN_MS = 100
 """Time to answer a request that has reached its deadline."""
 _POLL_MS = 50
@@ -49,32 +50,38 @@
 
 
 async def finish_requests(
-    control: control_planes.ControlPlane,
     data_plane: data_planes.DataPlane,
+    server: connection_close.Server,
+    ledger: connection_ledger.ConnectionLedger,
     bound_ms: int,
-) -> bool:
+    clock: clocks.Clock,
+) -> None:
     """Serve until earlier lookup results have expired and requests have ended.
 
     Requests whose deadline is later than the bound are refused as not run.
 
     Args:
-        control: Control plane.
         data_plane: Data plane.
+        server: Server of the callers' interface.
+        ledger: Connections of callers.
         bound_ms: Timeout for requests in progress in ms, starting after the
             lookup TTL.
-
-    Returns:
-        Whether all requests had ended within the bound.
+        clock: Clock of the host.
     """
-    clock = control.clock
     started_ms = clock.now_ms
     end_ms = started_ms + model.LOOKUP_TTL_MS + bound_ms
-    data_plane.application.end_ms = end_ms - _RESPONSE_MARGIN_MS
+    data_plane.accept_until(end_ms - _RESPONSE_MARGIN_MS)
+
+    def is_idle() -> bool:
+        return not data_plane.in_progress and not ledger.open_exchanges()
+
     while clock.now_ms - started_ms < model.LOOKUP_TTL_MS:
         await clock.sleep_ms(_POLL_MS)
-    while data_plane.in_progress:
-        if clock.now_ms >= end_ms:
-            _LOG.warning('%d requests interrupted', data_plane.in_progress)
-            return False
+    while not is_idle() and clock.now_ms < end_ms:
         await clock.sleep_ms(_POLL_MS)
-    return True
+    data_plane.accept_until(started_ms)
+    await connection_close.close_connections(
+        [server], ledger, is_idle, end_ms, clock
+    )
+    if data_plane.in_progress:
+        _LOG.warning('%d requests interrupted', data_plane.in_progress)
--- a/wigeonhatch/requests/forward_server.py
+++ b/wigeonhatch/requests/forward_server.py
@@ -32,6 +32,11 @@
         runner: Runs the requests.
         forwarder: Takes tokens from the link budgets.
         limits: Limits of the callers' interface.
+
+    Attributes:
+        end_ms: Time on the monotonic clock in ms at which the host ends the
+            requests in progress; None unless it stops. Requests with a later
+            deadline are refused.
     """
 
     def __init__(
@@ -42,6 +47,7 @@
         forwarder: forward_client.ForwardClient,
         limits: settings.Limits,
     ) -> None:
+        self.end_ms: int | None = None
         self._handler_count = 0
         self._clock = clock
         self._config = config
@@ -135,6 +141,9 @@
             )
         if head.deadline_ms == 0:
             return outcome.Failure(codes.ResultCode.DEADLINE_EXCEEDED)
+        deadline_ms = self._clock.now_ms + head.deadline_ms
+        if self.end_ms is not None and deadline_ms > self.end_ms:
+            return outcome.Failure(codes.ResultCode.NOT_READY)
         if head.body_length > self._limits.max_body_bytes:
             return outcome.Failure(codes.ResultCode.BODY_TOO_LARGE)
         return None
--- a/wigeonhatch/supervision.py
+++ b/wigeonhatch/supervision.py
@@ -1,4 +1,4 @@
-"""Tasks of a daemon that an unexpected error does not end."""
+"""Tasks of a daemon whose unexpected errors end nothing else."""
 
 from __future__ import annotations
 
@@ -58,3 +58,16 @@
                 )
             on_error()
             await self._clock.sleep_ms(RESTART_DELAY_MS)
+
+
+async def run_step(step: str, run: Run) -> None:
+    """Run one step of a stop; an error is logged and does not end the stop.
+
+    Args:
+        step: Name of the step for the log.
+        run: Runs the step.
+    """
+    try:
+        await run()
+    except Exception:
+        _LOG.exception('step failed', extra={'event_fields': {'step': step}})
