End no request before its timeout

Callers may get an answer of the host in place of a target's response up to 1 ms before the route's timeout: the arrival is truncated to ms, and uvloop rounds timers.

Change: the deadline at the target's connection is 2 ms later.

--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import socket
+import time
 import typing
 
 import anyio
@@ -250,3 +251,28 @@
         end_ms = CLOCK.now_ms + 5_000
         assert await fetch(client, head, chunks(), within_ms=5_000) == b'no'
         assert CLOCK.now_ms < end_ms
+
+
+@scripted.run_on_uvloop
+async def test_deadline_never_passes_early() -> None:
+    """Guards against a response that is replaced before its timeout.
+
+    The caller measures the timeout from the moment before the host reads its
+    clock.
+    """
+    count, timeout_ms = 200, 30
+    elapsed_ms: list[float] = []
+
+    async def time_out(client: target_client.TargetClient) -> None:
+        started_s = time.monotonic()
+        result = await fetch(client, within_ms=timeout_ms)
+        elapsed_ms.append((time.monotonic() - started_s) * 1_000)
+        assert isinstance(result, outcome.Failure)
+
+    scripts = [scripted.respond(delay_s=1)] * count
+    async with connected(*scripts, connections=count) as (client, _):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(time_out, client)
+                await anyio.sleep(0.0013)
+    assert min(elapsed_ms) >= timeout_ms
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 # uvloop rounds timers to ms, so that one may fire slightly early.
 _TIMER_TOLERANCE_S = 0.005
+# Times in ms are truncated, and timers rounded; without this, a request could
+# end before its timeout, while its target is still at work.
+_ROUNDING_S = 0.002
 
 
 class TargetClient:
@@ -186,7 +189,7 @@
                 f'target {target} has {pool.max_connections} connections',
             )
         loop_time = asyncio.get_running_loop().time
-        deadline_s = loop_time() + remaining_ms / 1_000
+        deadline_s = loop_time() + remaining_ms / 1_000 + _ROUNDING_S
         connection.prepare(deadline_s)
 
         def is_expired() -> bool:
