Cancel a silent attempt only if another target can respond in time

An idempotent attempt whose target is silent is cancelled for a retry. If no other target had a slot then, or the deadline was too close, the caller got 502 or 504 while the first target was still at work. This also happens on a host that has just started, in place of one that was stopped: it knows few durations.

Change: before it cancels, the relay asks whether another target could take the request and has its usual duration left.

--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -119,18 +119,27 @@
     assert len(set(rig.client.targets)) == 2
 
 
-@pytest.mark.parametrize('reason', ['stopping', 'budget', 'unknown', 'kind'])
+@pytest.mark.parametrize(
+    'reason', ['stopping', 'budget', 'unknown', 'kind', 'time', 'full']
+)
 def test_attempt_continues_if_a_retry_is_not_possible(reason: str) -> None:
     """Guards against a stopping host that cancels attempts in progress.
 
     An attempt also continues without a retry left, while no usual duration is
-    known, and if the request is not idempotent.
+    known, if the request is not idempotent, and if no other target has a slot
+    or could respond in time: a refusal would replace its response.
     """
     rig = rigs.Rig(None, retries=0 if reason == 'budget' else 10)
     if reason != 'unknown':
         rig.scene.loads.record_duration('board', True, 10)
     rig.relay.is_stopping = reason == 'stopping'
-    rig.client.on_send = lambda: rig.scene.clock.advance(450)
+
+    def on_send() -> None:
+        rig.scene.clock.advance(1_995 if reason == 'time' else 450)
+        if reason == 'full':
+            rig.scene.loads.on_report('h2', {f't{n}': 400 for n in range(4)})
+
+    rig.client.on_send = on_send
     kind = (
         rigs.NON_IDEMPOTENT
         if reason == 'kind'
--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -177,6 +177,27 @@
                     best = pick
         return self._explain_none(query, best)
 
+    def can_pick(
+        self, query: Query, excluded: collections.abc.Set[str]
+    ) -> bool:
+        """Tell whether a target could serve a request, without selecting it.
+
+        Args:
+            query: Requirements of the request.
+            excluded: Names of targets that were already tried.
+        """
+        regions = self._find_regions(query.service, self._targets.epoch)
+        if query.allowed_regions:
+            regions &= query.allowed_regions
+        picks = (
+            self._pick_in_region(region, query, excluded, False)
+            for region in regions
+        )
+        return any(
+            pick is not None and pick.wait_ms <= query.max_wait_ms
+            for pick in picks
+        )
+
     def min_retry_after_ms(
         self, service: str, allowed_regions: frozenset[str]
     ) -> int:
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -217,6 +217,24 @@
         budget = self._budget_by_service[request.service]
         return budget.has_token and not is_last
 
+    def _has_alternative(
+        self,
+        request: relay_model.RelayRequest,
+        history: relay_model.AttemptHistory,
+    ) -> bool:
+        """Tell whether another target could respond before the deadline."""
+        remaining_ms = request.deadline_ms - self._clock.now_ms
+        duration_ms = self._loads.duration_ms(request.service, True)
+        query = _query.build_query(
+            request,
+            remaining_ms,
+            duration_ms,
+            self._can_retry(request, history),
+        )
+        return remaining_ms >= max(
+            MIN_ATTEMPT_MS, duration_ms
+        ) and self._picker.can_pick(query, history.tried_targets)
+
     def _may_retry(
         self,
         request: relay_model.RelayRequest,
@@ -337,7 +355,11 @@
 
         def on_inactive() -> bool:
             # Without a retry, only this attempt can succeed.
-            may_cancel = budget.has_token and not self.is_stopping
+            may_cancel = (
+                budget.has_token
+                and not self.is_stopping
+                and self._has_alternative(request, history)
+            )
             if may_cancel:
                 scope.cancel()
             return may_cancel
