Check the accounts of stops in seeds with planned work alone

A request that a stop cuts reaches the soak only if its caller happens to see it. The accounts that daemons log tell it for every stop.

Change: in seeds without faults, a cut request or exchange, or an account that is not balanced, is a violation.

--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -20,6 +20,7 @@
 from tests.faults import events
 from tests.faults import fleet as fleets
 from tests.faults import statement_events
+from tests.faults import stop_rule
 
 _START_TIMEOUT_S = 30
 _RECOVERY_CHECK_S = 4.0
@@ -180,6 +181,11 @@
             recovery_end_ms, end_ms, {host.name for host in fleet.hosts}
         )
         fleet.ledger.check_retries()
+        if planned_only:
+            for cut in stop_rule.find_cuts(
+                host.log_path for host in fleet.hosts
+            ):
+                fleet.ledger.fail('stop', cut)
     finally:
         for task in tasks:
             task.cancel()
