--- a/tests/end_to_end/test_edge_stop.py
+++ b/tests/end_to_end/test_edge_stop.py
@@ -8,6 +8,7 @@
 import time
 
 import anyio
+import httpcore
 import pytest
 
 from tests.end_to_end import edge_deployment as deployments
@@ -153,3 +154,51 @@
         assert took_s < deployments.STOP_GRACE_MS / 1_000
 
     deployments.run_scenario(tmp_path, scenario)
+
+
+def test_reloads_cut_no_request(tmp_path: pathlib.Path) -> None:
+    """Guards against settings or a configuration that end a connection.
+
+    Both change while callers wait for responses on connections that they keep.
+    """
+
+    async def scenario(deployment: deployments.Deployment) -> None:
+        edge = await deployment.start()
+        text = deployment.settings_path.read_text()
+        statuses: list[int] = []
+        is_ended = False
+
+        async def call(name: str) -> None:
+            async with httpcore.AsyncConnectionPool() as pool:
+                number = 0
+                while not is_ended:
+                    number += 1
+                    status, _ = await deployment.call(
+                        deployment.port,
+                        '/r/slow',
+                        f'{name}-{number}',
+                        shared_pool=pool,
+                    )
+                    statuses.append(status)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                tasks.start_soon(call, f'c{number}')
+            for version in range(2, 22):
+                await anyio.sleep(0.1)
+                deployment.settings_path.write_text(
+                    text.replace('4000ms', f'{4_000 + version}ms')
+                )
+                edge.send_signal(signal.SIGHUP)
+                await deployment.put(
+                    'op',
+                    'config',
+                    deployments.make_config(
+                        version, idle_timeout=f'{version}s'
+                    ),
+                )
+            is_ended = True
+        assert len(statuses) >= 8
+        assert set(statuses) == {200}
+
+    deployments.run_scenario(tmp_path, scenario)
