--- a/wigeonhatch/balance/picker.py
+++ b/wigeonhatch/balance/picker.py
@@ -147,9 +147,7 @@
             query: Requirements of the request.
             excluded: Names of targets that were already tried.
         """
-        regions = self._find_regions(query.service, self._targets.epoch)
-        if query.allowed_regions:
-            regions &= query.allowed_regions
+        regions = self._usable_regions(query)
         if not regions:
             return NoTarget('no usable target', MIN_RETRY_AFTER_MS)
         self._affinity_keys.on_request(query.service, query.affinity_key)
@@ -186,12 +184,9 @@
             query: Requirements of the request.
             excluded: Names of targets that were already tried.
         """
-        regions = self._find_regions(query.service, self._targets.epoch)
-        if query.allowed_regions:
-            regions &= query.allowed_regions
         picks = (
             self._pick_in_region(region, query, excluded, False)
-            for region in regions
+            for region in self._usable_regions(query)
         )
         return any(
             pick is not None and pick.wait_ms <= query.max_wait_ms
@@ -276,6 +271,12 @@
         self._affinity_keys.expire()
         self._regions.adjust(self._service_by_name, region_by_host)
 
+    def _usable_regions(self, query: Query) -> frozenset[str]:
+        regions = self._find_regions(query.service, self._targets.epoch)
+        if query.allowed_regions:
+            regions &= query.allowed_regions
+        return regions
+
     def _pick_in_region(
         self,
         region: str,
