Name the requests whose log lines are dropped

At most 200 lines a second are written for each message.

Change: the next line of a message, or one at the exit, names up to 1,000 requests whose lines were dropped, and explain shows them.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -123,3 +123,28 @@
     finally:
         os.close(reader)
         os.close(writer)
+
+
+def test_dropped_lines_name_their_requests(
+    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request without a line since there were too many."""
+    root = logging.getLogger()
+    monkeypatch.setattr(root, 'handlers', root.handlers[:])
+    level = root.level
+    log.configure_logging('INFO')
+    try:
+        logger = logging.getLogger('wigeonhatch.test')
+        count = log.MAX_LINES_PER_S * 3
+        for number in range(count):
+            log.event(logger, 'attempt', request_id=f'r{number}')
+        log.drain(1_000)
+    finally:
+        os.set_blocking(1, True)
+        root.setLevel(level)
+    named: list[str] = []
+    for line in capfd.readouterr().out.splitlines():
+        fields = json.loads(line)
+        named += fields.get('dropped_request_ids', [])
+        named += [fields['request_id']] if 'request_id' in fields else []
+    assert sorted(named) == sorted(f'r{number}' for number in range(count))
--- a/tests/tracing/test_request.py
+++ b/tests/tracing/test_request.py
@@ -113,3 +113,23 @@
     assert 'no line has this id' in capsys.readouterr().out
     assert dispatch.run(['explain', 'r1']) != 0
     assert dispatch.run(['explain', 'r1', '/nonexistent']) != 0
+
+
+def test_dropped_line_is_a_step() -> None:
+    """Guards against a request that seems to have reached no host."""
+    lines = [
+        reader.LogLine(
+            1_000, 'h1', 'attempt', {'dropped_request_ids': ['r1', 'r2']}
+        ),
+        reader.LogLine(
+            2_000,
+            'h1',
+            'lines dropped',
+            {'of': 'request refused', 'dropped_request_ids': ['r2']},
+        ),
+    ]
+    steps = request.trace_request('r2', lines)
+    assert [step.message.split(' (')[0] for step in steps] == [
+        'attempt',
+        'request refused',
+    ]
--- a/wigeonhatch/log.py
+++ b/wigeonhatch/log.py
@@ -22,9 +22,12 @@
 _secrets: list[str] = []
 
 _STANDARD_OUTPUT = 1
+_LOG = logging.getLogger(__name__)
 
 MAX_LINES_PER_S = 200
 """Rate limit of each message; a host serves about 100 requests per second."""
+MAX_DROPPED_IDS = 1_000
+"""Limit of the request IDs that one line names for those dropped before it."""
 _DRAIN_POLL_MS = 10
 MAX_BUFFER_BYTES = 262_144
 """Size limit of the write buffer; holds about 10 s of log lines."""
@@ -57,9 +60,10 @@
                 )
         for name, value in getattr(record, 'event_fields', {}).items():
             entry[name] = _redact(value) if isinstance(value, str) else value
-        dropped = getattr(record, 'dropped', 0)
-        if dropped:
-            entry['dropped'] = dropped
+        for name in ('dropped', 'dropped_request_ids'):
+            value = getattr(record, name, None)
+            if value:
+                entry[name] = value
         if record.exc_info:
             entry['exception'] = _redact(self.formatException(record.exc_info))
         return json.dumps(entry, default=str)
@@ -89,12 +93,16 @@
         self._dropped_by_message: collections.Counter[str] = (
             collections.Counter()
         )
+        self._dropped_ids_by_message: dict[str, list[str]] = (
+            collections.defaultdict(list)
+        )
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Decide whether a record is written.
 
         Args:
-            record: Record; `dropped` is set to the lines dropped before it.
+            record: Record; `dropped` is set to the lines dropped before it,
+                and `dropped_request_ids` to the requests that these named.
         """
         second = int(self._now_s())
         if second != self._second:
@@ -103,12 +111,35 @@
         message = str(record.msg)
         self._count_by_message[message] += 1
         if self._count_by_message[message] > self._max_per_s:
-            self._dropped_by_message[message] += 1
-            self.dropped_lines += 1
+            self._on_dropped(message, record)
             return False
         record.dropped = self._dropped_by_message.pop(message, 0)
+        record.dropped_request_ids = self._dropped_ids_by_message.pop(
+            message, []
+        )
         return True
 
+    def take_dropped(
+        self,
+    ) -> collections.abc.Iterator[tuple[str, int, list[str]]]:
+        """Yield what no later line has reported, and forget it.
+
+        Yields:
+            Message, number of lines dropped, and IDs of their requests.
+        """
+        while self._dropped_by_message:
+            message, count = self._dropped_by_message.popitem()
+            yield message, count, self._dropped_ids_by_message.pop(message, [])
+
+    def _on_dropped(self, message: str, record: logging.LogRecord) -> None:
+        self.dropped_lines += 1
+        self._dropped_by_message[message] += 1
+        fields = getattr(record, 'event_fields', {})
+        request_id = fields.get('request_id')
+        ids = self._dropped_ids_by_message[message]
+        if request_id and len(ids) < MAX_DROPPED_IDS:
+            ids.append(request_id)
+
 
 class NonBlockingHandler(logging.Handler):
     """Write lines to a file descriptor without blocking.
@@ -200,25 +231,42 @@
     """Count the lines that were dropped since the start."""
     return sum(
         handler.dropped_lines
-        + sum(
-            item.dropped_lines
-            for item in handler.filters
-            if isinstance(item, RateFilter)
-        )
-        for handler in logging.getLogger().handlers
-        if isinstance(handler, NonBlockingHandler)
+        + sum(item.dropped_lines for item in _rate_filters(handler))
+        for handler in _handlers()
     )
 
 
 def drain(timeout_ms: int) -> None:
-    """Write the lines that are buffered before the process exits.
+    """Write what is buffered, and name what was dropped, before the exit.
 
     Args:
         timeout_ms: Longest wait for a slow reader in ms.
     """
+    for handler in _handlers():
+        for rate_filter in _rate_filters(handler):
+            for message, count, ids in list(rate_filter.take_dropped()):
+                event(
+                    _LOG,
+                    'lines dropped',
+                    of=message,
+                    dropped=count,
+                    dropped_request_ids=ids,
+                )
+        handler.drain(timeout_ms)
+
+
+def _handlers() -> collections.abc.Iterator[NonBlockingHandler]:
     for handler in logging.getLogger().handlers:
         if isinstance(handler, NonBlockingHandler):
-            handler.drain(timeout_ms)
+            yield handler
+
+
+def _rate_filters(
+    handler: logging.Handler,
+) -> collections.abc.Iterator[RateFilter]:
+    for item in handler.filters:
+        if isinstance(item, RateFilter):
+            yield item
 
 
 def redact(secret: str) -> None:
--- a/wigeonhatch/tracing/request.py
+++ b/wigeonhatch/tracing/request.py
@@ -32,8 +32,17 @@
 }
 """Subject and displayed field of each message that changes the state of one
 target."""
+_DROPPED_IDS = 'dropped_request_ids'
 _OMITTED_FIELDS = frozenset(
-    {'time_ms', 'level', 'logger', 'message', 'request_id', 'dropped'}
+    {
+        'time_ms',
+        'level',
+        'logger',
+        'message',
+        'request_id',
+        'dropped',
+        _DROPPED_IDS,
+    }
 )
 
 
@@ -148,6 +157,17 @@
                     tuple(state.at(decided_ms, line.fields.get('target'))),
                 )
             )
+        elif request_id in line.fields.get(_DROPPED_IDS, ()):
+            message = line.fields.get('of', line.message)
+            steps.append(
+                Step(
+                    line.time_ms,
+                    line.host,
+                    f'{message} (dropped, since there were too many lines)',
+                    {},
+                    (),
+                )
+            )
         state.apply(line)
     return sorted(steps, key=lambda step: step.time_ms)
 
