Let runs of the tests beside each other use different ports

The port range of a test was fixed by its name, so that two runs on one machine share the ports of a test that both are in.

Change: the first free range is used, from a start that differs between processes.

--- a/tests/end_to_end/_fleets.py
+++ b/tests/end_to_end/_fleets.py
@@ -5,6 +5,8 @@
 import collections
 import collections.abc
 import contextlib
+import os
+import socket
 import time
 import typing
 
@@ -22,6 +24,8 @@
 REGIONS = ('east', 'west', 'south')
 SLOTS = 4
 _PORTS_PER_FLEET = 100
+# Below the ports from which systems assign those of outgoing connections.
+_BASE_PORTS = range(23_000, 32_000, _PORTS_PER_FLEET)
 _WARMUP_S = 3.0
 
 
@@ -76,6 +80,17 @@
     }
 
 
+def _find_base_port(number: int) -> int:
+    """Find a port range that no other run of the tests uses."""
+    for offset in range(len(_BASE_PORTS)):
+        base_port = _BASE_PORTS[(number + offset) % len(_BASE_PORTS)]
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in range(base_port, base_port + _PORTS_PER_FLEET):
+                stack.enter_context(socket.create_server(('127.0.0.1', port)))
+            return base_port
+    raise OSError('all port ranges of the tests are in use')
+
+
 @contextlib.contextmanager
 def run_fleet(
     number: int,
@@ -83,9 +98,9 @@
     """Run the small deployment with its configuration applied.
 
     Args:
-        number: Index of the port range of the fleet.
+        number: Index of the first port range to try.
     """
-    base_port = 23_000 + number * _PORTS_PER_FLEET
+    base_port = _find_base_port(number + os.getpid())
     fleet = fleet_module.Fleet(
         build_small_document(base_port),
         {'reads': 15.0, 'bookings': 15.0},
