Tell how far a host is behind the newest configuration of its peers

A refusal named the configuration in force alone, and the hosts of a platform had no metric of it at all: a host that knows it is behind and one that has heard nothing looked the same. Refusals name the age of the configuration, the newest one that a peer has announced and since when; three gauges and a histogram show the same; each request for rows names the peer, what it returned and how long it took.

--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -20,6 +20,7 @@
 from wigeonhatch.requests import edge
 from wigeonhatch.requests import forward_fields
 from wigeonhatch.requests import relay_model
+from wigeonhatch.routes import config_lag
 from wigeonhatch.routes import table as tables
 
 CODE = codes.ResultCode
@@ -60,8 +61,11 @@
         if version:
             route = test_table.build_route('r', '/a/', ('s', 1))
             routes.configure(test_table.build_config(version, route))
+        self.lag = config_lag.ConfigLag(self.clock)
+        self.lag.on_config(version)
         self.application = edge.EdgeApplication(
             routes,
+            self.lag,
             typing.cast(typing.Any, self.relay),
             lambda target: 'north',
             lambda *arguments: None,
--- a/wigeonhatch/cli/daemons.py
+++ b/wigeonhatch/cli/daemons.py
@@ -51,9 +51,9 @@
     loaded = read()
     if isinstance(loaded, outcome.Failure):
         return _print_failure(loaded)
-    from wigeonhatch.entry import edge_daemon
+    from wigeonhatch.entry import edge_runner
 
-    return edge_daemon.run_edge(loaded.value, read)
+    return edge_runner.run_edge(loaded.value, read)
 
 
 def _print_failure(failure: outcome.Failure) -> int:
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -24,6 +24,7 @@
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import daemon_signals
 from wigeonhatch.entry import directory
+from wigeonhatch.entry import edge_metrics
 from wigeonhatch.entry import edge_servers
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import edge_signals
@@ -31,11 +32,11 @@
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import quarantine_store
 from wigeonhatch.entry import retry_share
-from wigeonhatch.entry import runner
 from wigeonhatch.entry import settings_reload
 from wigeonhatch.entry import stop_account
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
+from wigeonhatch.metrics import config_metrics
 from wigeonhatch.peers import region_fractions
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import store as stores
@@ -45,6 +46,7 @@
 from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import server as request_server
+from wigeonhatch.routes import config_lag
 from wigeonhatch.routes import model
 from wigeonhatch.routes import table as tables
 from wigeonhatch.targets import client as target_client
@@ -91,6 +93,10 @@
             settings.limits, self._ledger
         )
         self._metrics = collector.Metrics(clock)
+        self._config_lag = config_lag.ConfigLag(clock)
+        self._config_metrics = config_metrics.ConfigMetrics(
+            self._config_lag, self._metrics.registry
+        )
         self._store = stores.StoreClient(settings.store_address)
         self._routes = tables.RouteTable()
         self._targets = registry.TargetRegistry(clock)
@@ -113,7 +119,7 @@
             self._statements,
             self._quarantine,
             self._build_report,
-            lambda state: self._store_follower.on_peer_state(state),
+            self._on_peer_state,
             clock,
         )
         self._fractions = region_fractions.RegionFractions(
@@ -155,13 +161,6 @@
             self._statements.pauses,
             clock,
         )
-        self._metrics.set_selection_counters(
-            lambda: self._regions.count_by_selection
-        )
-        self._metrics.set_largest_shift(lambda: self._regions.meter.largest)
-        self._metrics.set_task_errors(lambda: self._supervisor.errors_by_task)
-        self._metrics.set_reach(lambda: not self._reach.is_lost)
-        self._metrics.set_unavailable(self._picker.count_unavailable)
         self._client = target_client.TargetClient(
             clock,
             accepts_close_delimited=True,
@@ -176,6 +175,13 @@
             clock,
             self._rng,
         )
+        edge_metrics.connect(
+            self._metrics,
+            self._regions,
+            self._picker,
+            self._reach,
+            self._supervisor,
+        )
         self._catalog = catalogs.Catalog(
             self._routes,
             self._targets,
@@ -215,6 +221,7 @@
         self._application, self._peer_application = (
             edges.EdgeApplication(
                 self._routes,
+                self._config_lag,
                 self._relay,
                 self._find_target_region,
                 self._on_finished,
@@ -323,7 +330,14 @@
             self._picker.adjust_splits(self._fleet.peers.region_by_host())
             self._fractions.refresh(self._regions.fraction_by_region)
 
+    def _on_peer_state(self, state: state_link.HostState) -> None:
+        self._config_lag.on_peer_version(state.report.config_version)
+        self._store_follower.on_peer_state(state)
+
     def _on_config(self, config: model.RoutingConfig) -> None:
+        self._config_metrics.on_change(
+            self._config_lag.on_config(config.version)
+        )
         limits = config.limits
         self._protocol.limits = dataclasses.replace(
             self._settings.limits,
@@ -375,24 +389,3 @@
         self._link_weight.on_request(
             result.request_bytes, result.response_bytes
         )
-
-
-def run_edge(
-    settings: edge_settings.EdgeSettings,
-    read_settings: settings_reload.ReadSettings,
-) -> int:
-    """Run the daemon until SIGTERM.
-
-    Args:
-        settings: Validated settings.
-        read_settings: Reads the settings file again.
-
-    Returns:
-        Exit status.
-    """
-    log.configure_logging(settings.log_level)
-
-    async def main() -> None:
-        await EdgeDaemon(settings, clocks.Clock(), read_settings).run()
-
-    return runner.run_daemon(main)
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -244,10 +244,23 @@
             if state.report.changed_by_table.get(table, 0) > change_version
         )
         nearest = max(candidates, default=None)
-        ip = self.roster.ip_by_host.get(nearest[-1]) if nearest else None
+        if nearest is None:
+            return None
+        ip = self.roster.ip_by_host.get(nearest[-1])
         if ip is None:
             return None
-        return await row_share.fetch(ip, self._rows_port, table, after)
+        started_ms = self._clock.now_ms
+        rows = await row_share.fetch(ip, self._rows_port, table, after)
+        log.event(
+            _LOG,
+            'rows requested',
+            peer=nearest[-1],
+            table=table,
+            change_version=change_version,
+            version=None if rows is None else rows.version,
+            took_ms=self._clock.now_ms - started_ms,
+        )
+        return rows
 
     def _on_state(self, state: state_link.HostState) -> None:
         if not self.peers.update(state):
--- a/wigeonhatch/metrics/collector.py
+++ b/wigeonhatch/metrics/collector.py
@@ -69,6 +69,9 @@
 
     Args:
         clock: Clock of this host.
+
+    Attributes:
+        registry: Registry of the metrics, for further collectors.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -90,10 +93,10 @@
         self._histogram = histogram.HdrHistogram(
             1, MAX_LATENCY_US, _SIGNIFICANT_DIGITS
         )
-        self._registry = registries.CollectorRegistry(auto_describe=False)
-        self._registry.register(self)
+        self.registry = registries.CollectorRegistry(auto_describe=False)
+        self.registry.register(self)
         prometheus_client.ProcessCollector(
-            namespace='wigeonhatch', registry=self._registry
+            namespace='wigeonhatch', registry=self.registry
         )
 
     def set_gauge_source(self, source: GaugeSource) -> None:
@@ -200,7 +203,7 @@
 
     def expose(self) -> bytes:
         """Render all metrics in the text format of Prometheus."""
-        return prometheus_client.generate_latest(self._registry)
+        return prometheus_client.generate_latest(self.registry)
 
     def collect(self) -> collections.abc.Iterator[core.Metric]:
         """Yield all metrics; called by the Prometheus registry."""
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -22,6 +22,7 @@
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import relay_model
 from wigeonhatch.requests import request_counts
+from wigeonhatch.routes import config_lag
 from wigeonhatch.routes import model as routes_model
 from wigeonhatch.routes import table as tables
 
@@ -65,6 +66,7 @@
 
     Args:
         routes: Routes of the configuration in force.
+        lag: Compares the configuration in force with those of the peers.
         relay: Sends requests to targets.
         find_region: Returns the region of a target by its name.
         on_finished: Receives the result of each request.
@@ -81,6 +83,7 @@
     def __init__(
         self,
         routes: tables.RouteTable,
+        lag: config_lag.ConfigLag,
         relay: relays.Relay,
         find_region: collections.abc.Callable[[str], str],
         on_finished: OnFinished,
@@ -90,6 +93,7 @@
         self.counts = request_counts.RequestCounts()
         self.end_ms: int | None = None
         self._routes = routes
+        self._lag = lag
         self._relay = relay
         self._find_region = find_region
         self._on_finished = on_finished
@@ -323,13 +327,15 @@
         self._on_finished(
             CompletedRequest(service, region, failure.code, elapsed_ms)
         )
-        config = self._routes.config
         log.event(
             _LOG,
             'request refused',
             request_id=request_id,
             route=route,
-            config_version=0 if config is None else config.version,
+            config_version=self._lag.version,
+            config_age_ms=self._lag.age_ms,
+            newest_config_version=self._lag.newest_version,
+            behind_ms=self._lag.behind_ms,
             service=service,
             code=int(failure.code),
             name=failure.code.name,
