Let no peer that is behind decide on a forwarded request

A caller whose host has lost its links to targets could get 404 on a route that its host has, if the body was too long to be sent to a second peer. The peer looked for the route before it compared its configuration with the sender's. It compares first now and answers that it is not ready. Without the change the test fails for the route that the peer lacks: 404.

--- a/tests/requests/test_edge_application.py
+++ b/tests/requests/test_edge_application.py
@@ -183,6 +183,25 @@
     assert call.run().status == RELAYED.status
 
 
+@pytest.mark.parametrize('path', ['/a/x', '/added/x'])
+@pytest.mark.parametrize('version', [1, 2])
+def test_peer_that_is_behind_does_not_decide(path: str, version: int) -> None:
+    """Guards against a caller who gets the 404 of an older configuration."""
+    limits = forward_fields.encode_limits(forward_fields.Limits(1, 2))
+    call = Call(
+        RELAYED,
+        path=path,
+        version=version,
+        is_for_peers=True,
+        headers=[limits],
+    )
+    expected = RELAYED.status if path == '/a/x' else 404
+    if version < 2:
+        expected = 503
+    assert call.run().status == expected
+    assert len(call.relay.requests) == (expected == RELAYED.status)
+
+
 def test_every_request_has_a_result(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a request that ends without a log line."""
     caplog.set_level(logging.INFO)
--- a/wigeonhatch/requests/edge.py
+++ b/wigeonhatch/requests/edge.py
@@ -221,6 +221,16 @@
         config = self._routes.config
         if config is None:
             return outcome.Failure(codes.ResultCode.NOT_READY)
+        limits: forward_fields.Limits | None = None
+        if self._is_for_peers:
+            limits = forward_fields.parse_limits(
+                header_by_name.get(fields.FORWARDED)
+            )
+            if limits is None or limits.config_version > config.version:
+                return outcome.Failure(
+                    codes.ResultCode.NOT_READY,
+                    f'not for version {config.version}',
+                )
         raw_path: bytes = scope['raw_path']
         host_name: bytes = header_by_name.get(b'host', b'')
         route = self._routes.find(
@@ -231,12 +241,7 @@
                 codes.ResultCode.NOT_FOUND,
                 f'no route in version {config.version}',
             )
-        if self._is_for_peers:
-            limits = forward_fields.parse_limits(
-                header_by_name.get(fields.FORWARDED)
-            )
-            if limits is None or limits.config_version > config.version:
-                return outcome.Failure(codes.ResultCode.NOT_READY)
+        if limits is not None:
             route = dataclasses.replace(
                 route, max_attempts=limits.attempts_left
             )
