Bound the time of a whole call to a peer

A follower that reads rows from a peer waited as long as a byte arrived every 0.7 s, since the timeout was that of each phase, and did nothing else meanwhile. A call ends after 1.5 s as a whole. Without the bound the test is ended by its own timeout of 4.5 s; the tests in processes and in virtual time replace the call instead of the fetch of rows.

--- a/tests/entry/fleet_network.py
+++ b/tests/entry/fleet_network.py
@@ -43,6 +43,13 @@
 
     Args:
         rng: Source of randomness.
+
+    Attributes:
+        link_by_host: Condition of the link of each host.
+        domain_by_host: Failure domain of each host.
+        cut_domains: Domains that are cut off from the others.
+        cut_pairs: Pairs of hosts without any packets between them.
+        cut_calls: Pairs of hosts between which datagrams pass alone.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -52,6 +59,7 @@
         self.domain_by_host: dict[str, str] = {}
         self.cut_domains: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
+        self.cut_calls: set[frozenset[str]] = set()
         self._rng = rng
         self._free_s_by_host: dict[str, float] = {}
 
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -15,15 +15,15 @@
 from tests import virtual_time
 from tests.entry import fleet_network
 from tests.platform import test_decode
-from wigeonhatch import decoding
 from wigeonhatch import supervision
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import statements
 from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
 from wigeonhatch.entry import store_follower
-from wigeonhatch.peers import row_share
+from wigeonhatch.peers import peer_call
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import names
 from wigeonhatch.platform import store as stores
@@ -108,6 +108,14 @@
             random.Random(f'{name}/{self.started_s}/{fleet.seed}'),
         )
 
+        self.directory = directory.DirectoryApplication(
+            lambda: True,
+            lambda region, caller: [],
+            0,
+            bytes,
+            self.follower.read_rows,
+        )
+
     @property
     def config_version(self) -> int:
         """Version of the configuration in force; 0 for none."""
@@ -129,6 +137,27 @@
         """End all tasks at once."""
         self._scope.cancel()
 
+    async def respond(self, path: str) -> bytes:
+        """Answer a call of a peer.
+
+        Raises:
+            PeerCallError: The host has nothing to answer with.
+        """
+        sent: list[dict[str, typing.Any]] = []
+
+        async def send(message: dict[str, typing.Any]) -> None:
+            sent.append(message)
+
+        path, _, query = path.partition('?')
+        await self.directory(
+            {'type': 'http', 'path': path, 'query_string': query.encode()},
+            None,
+            typing.cast(typing.Any, send),
+        )
+        if sent[0]['status'] != 200:
+            raise peer_call.PeerCallError(str(sent[0]['status']))
+        return bytes(sent[1]['body'])
+
     def _build_report(self) -> state_link.HostReport:
         return state_link.HostReport(
             is_serving=self.routes.config is not None,
@@ -242,30 +271,33 @@
         if host is not None:
             host.kill()
 
-    async def fetch(
-        self, ip: str, port: int, table: str, after: int
-    ) -> row_share.SharedRows | None:
-        """Fetch rows from a peer; replaces `row_share.fetch`."""
+    async def get(self, ip: str, port: int, path: str) -> bytes:
+        """Read from a peer; replaces `peer_call.get`.
+
+        Raises:
+            PeerCallError: The peer does not run, or did not answer in time.
+        """
         caller = _CALLING_HOST.get()
-        timeout_s = row_share.FETCH_TIMEOUT_MS / 1_000
         peer = self.host_by_ip.get(ip)
         if peer is None:
-            return None
-        if not self.network.is_open(caller, peer.name):
-            await anyio.sleep(timeout_s)
-            return None
-        latency_s = self.network.latency_s(caller, peer.name)
-        await anyio.sleep(3 * latency_s)
-        query = {'table': table, 'after': str(after)}
-        data = row_share.encode_rows(query, peer.follower.read_rows)
-        if data is None:
-            return None
-        await self.network.transfer(peer.name, len(data))
-        await anyio.sleep(latency_s)
-        if not self.network.is_open(caller, peer.name):
-            await anyio.sleep(timeout_s)
-            return None
-        return decoding.decode_msgpack(data, row_share.SharedRows)
+            raise peer_call.PeerCallError('nothing listens')
+        with anyio.move_on_after(peer_call.CALL_TIMEOUT_MS / 1_000):
+            latency_s = self.network.latency_s(caller, peer.name)
+            await self._pass(caller, peer.name)
+            await anyio.sleep(3 * latency_s)
+            content = await peer.respond(path)
+            await self.network.transfer(peer.name, len(content))
+            await self._pass(caller, peer.name)
+            await anyio.sleep(latency_s)
+            return content
+        raise peer_call.PeerCallError('no answer')
+
+    async def _pass(self, caller: str, peer: str) -> None:
+        """Fail like a call over a link that does not let it pass."""
+        is_cut = frozenset((caller, peer)) in self.network.cut_calls
+        if is_cut or not self.network.is_open(caller, peer):
+            await anyio.sleep(peer_call.PHASE_TIMEOUT_MS / 1_000)
+            raise peer_call.PeerCallError('no answer')
 
     async def run(
         self,
@@ -278,8 +310,8 @@
         Args:
             scenario: Runs while the hosts do.
         """
-        original = row_share.fetch
-        row_share.fetch = self.fetch
+        original = peer_call.get
+        peer_call.get = self.get
         try:
             async with anyio.create_task_group() as self._tasks:
                 self.write_config()
@@ -289,4 +321,4 @@
                 await scenario()
                 self._tasks.cancel_scope.cancel()
         finally:
-            row_share.fetch = original
+            peer_call.get = original
--- a/tests/faults/peer_links.py
+++ b/tests/faults/peer_links.py
@@ -11,7 +11,7 @@
 import pathlib
 import typing
 
-from wigeonhatch.peers import row_share
+from wigeonhatch.peers import peer_call
 from wigeonhatch.peers import state_link
 
 SUFFIX = '.peers'
@@ -24,7 +24,7 @@
     def __init__(self, path: pathlib.Path) -> None:
         self.cut_ips: frozenset[str] = frozenset()
         self._path = path
-        self._fetch = row_share.fetch
+        self._get = peer_call.get
         self._receive = state_link.StateLink.datagram_received
         self._task: asyncio.Task[None] | None = None
 
@@ -37,14 +37,16 @@
         if addr[0] not in self.cut_ips:
             self._receive(link, data, addr)
 
-    async def fetch(
-        self, ip: str, port: int, table: str, after: int
-    ) -> row_share.SharedRows | None:
-        """Fetch rows; the response of a peer whose link is cut is lost."""
+    async def get(self, ip: str, port: int, path: str) -> bytes:
+        """Read from a peer; the response over a link that is cut is lost.
+
+        Raises:
+            PeerCallError: The link is cut, or the call failed.
+        """
         if ip in self.cut_ips:
-            await asyncio.sleep(row_share.FETCH_TIMEOUT_MS / 1_000)
-            return None
-        return await self._fetch(ip, port, table, after)
+            await asyncio.sleep(peer_call.PHASE_TIMEOUT_MS / 1_000)
+            raise peer_call.PeerCallError('the link is cut')
+        return await self._get(ip, port, path)
 
     async def _poll(self) -> None:
         while True:
@@ -61,7 +63,7 @@
         settings_path: Path of the settings.
     """
     links = _PeerLinks(pathlib.Path(settings_path).with_suffix(SUFFIX))
-    row_share.fetch = links.fetch
+    peer_call.get = links.get
 
     def receive(
         link: state_link.StateLink, data: bytes, addr: typing.Any
--- a/wigeonhatch/peers/row_share.py
+++ b/wigeonhatch/peers/row_share.py
@@ -11,16 +11,14 @@
 import logging
 import urllib.parse
 
-import httpcore
 import msgspec
 
 from wigeonhatch import decoding
 from wigeonhatch import log
+from wigeonhatch.peers import peer_call
 from wigeonhatch.platform import store as stores
 
 ROWS_PATH = '/rows'
-FETCH_TIMEOUT_MS = 700
-"""Timeout of each phase of a peer call; a round trip takes up to 90 ms."""
 _MAX_VERSION_DIGITS = 18
 _LOG = logging.getLogger(__name__)
 
@@ -79,24 +77,11 @@
         The rows; None if the peer did not return them.
     """
     query = urllib.parse.urlencode({'table': table, 'after': after})
-    timeout_s = FETCH_TIMEOUT_MS / 1_000
-    timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), timeout_s)
     try:
-        async with httpcore.AsyncConnectionPool() as pool:
-            response = await pool.request(
-                'GET',
-                f'http://{ip}:{port}{ROWS_PATH}?{query}',
-                extensions={'timeout': timeouts},
-            )
-        if response.status == 200:
-            return decoding.decode_msgpack(response.content, SharedRows)
-        reason = f'HTTP status {response.status}'
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-        decoding.DecodeError,
-    ) as error:
-        reason = type(error).__name__
-    log.event(_LOG, 'row fetch failed', peer=ip, table=table, reason=reason)
+        content = await peer_call.get(ip, port, f'{ROWS_PATH}?{query}')
+        return decoding.decode_msgpack(content, SharedRows)
+    except (peer_call.PeerCallError, decoding.DecodeError) as error:
+        log.event(
+            _LOG, 'row fetch failed', peer=ip, table=table, reason=str(error)
+        )
     return None
