Read from another peer if one does not answer

A host that the store does not answer read the rows of a new configuration from its nearest peer, the same one each time.

--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -17,6 +17,7 @@
 from wigeonhatch.peers import readers
 from wigeonhatch.peers import roster as rosters
 from wigeonhatch.peers import row_share
+from wigeonhatch.peers import sources
 from wigeonhatch.peers import state_link
 from wigeonhatch.platform import interface
 from wigeonhatch.platform import names
@@ -66,6 +67,9 @@
     ) -> None:
         self.peers = state_link.PeerTable(clock)
         self.roster = rosters.Roster(settings.host)
+        self.sources = sources.PeerSources(
+            settings.domain, settings.region, self.peers, self.roster, clock
+        )
         _, self._rows_port = settings_module.parse_address(
             settings.peer_address
         )
@@ -222,7 +226,7 @@
     async def fetch_from_peer(
         self, table: str, change_version: int, after: int
     ) -> row_share.SharedRows | None:
-        """Fetch rows of a table from the nearest peer with a newer change.
+        """Fetch rows of a table from a near peer with a newer change.
 
         Args:
             table: Name of the table.
@@ -230,37 +234,31 @@
             after: Store version of the table that this host holds.
 
         Returns:
-            The rows; None if no peer has a newer change or the call failed.
+            The rows; None if no peer has a newer change or none answered.
         """
-        own = self._settings
-        candidates = (
-            (
-                state.domain == own.domain,
-                state.region == own.region,
-                state.report.changed_by_table[table],
-                state.host,
+
+        async def fetch(source: sources.Source) -> row_share.SharedRows | None:
+            started_ms = self._clock.now_ms
+            rows = await row_share.fetch(
+                source.ip, self._rows_port, table, after
+            )
+            log.event(
+                _LOG,
+                'rows requested',
+                peer=source.host,
+                table=table,
+                change_version=change_version,
+                version=None if rows is None else rows.version,
+                took_ms=self._clock.now_ms - started_ms,
+            )
+            return rows
+
+        found = self.sources.find(
+            lambda report: (
+                report.changed_by_table.get(table, 0) - change_version
             )
-            for state in self.peers.live_states()
-            if state.report.changed_by_table.get(table, 0) > change_version
-        )
-        nearest = max(candidates, default=None)
-        if nearest is None:
-            return None
-        ip = self.roster.ip_by_host.get(nearest[-1])
-        if ip is None:
-            return None
-        started_ms = self._clock.now_ms
-        rows = await row_share.fetch(ip, self._rows_port, table, after)
-        log.event(
-            _LOG,
-            'rows requested',
-            peer=nearest[-1],
-            table=table,
-            change_version=change_version,
-            version=None if rows is None else rows.version,
-            took_ms=self._clock.now_ms - started_ms,
         )
-        return rows
+        return await self.sources.read(found, fetch)
 
     def _on_state(self, state: state_link.HostState) -> None:
         if not self.peers.update(state):
