Send the configuration to hosts that announce an older one

A host read configurations only by the versions of the store's tables, in calls that it made itself. One whose link is full could neither reach the store nor a peer: every connection timed out (0.5 and 0.7 s) while the heartbeats of its peers, all with a newer configuration, arrived. One that started after a restore took the copy's configuration, which counts as the newest of the table, while only the memory of its peers had the newer one.

Each heartbeat has the number of the configuration in force. A host that has had a newer one for 0.9 s sends it in datagrams, two for each state of the host that is behind, on average over its peers. These need nothing from that host but its states.

--- a/tests/entry/fleet_network.py
+++ b/tests/entry/fleet_network.py
@@ -27,6 +27,7 @@
     Args:
         mbps: Bandwidth of what it sends, in Mbit/s.
         loss: Fraction of the datagrams that are lost.
+        queue_s: Time in s for which its packets wait before they are sent.
         is_frozen: Whether the host neither sends nor answers.
         store_fault: What its calls to the store meet: `silent`, `busy` or
             `refused`; empty for nothing.
@@ -34,6 +35,7 @@
 
     mbps: float = 100.0
     loss: float = 0.0
+    queue_s: float = 0.0
     is_frozen: bool = False
     store_fault: str = ''
 
@@ -81,14 +83,21 @@
         return not self.is_open(first, second) or self._rng.random() < loss
 
     def latency_s(self, first: str, second: str) -> float:
-        """Latency between two hosts in s."""
+        """Latency of a packet from one host to another in s."""
         regions = {
             self.domain_by_host[host].partition('-')[0]
             for host in (first, second)
         }
         is_remote = len(regions) > 1
         latency_ms = REMOTE_LATENCY_MS if is_remote else LOCAL_LATENCY_MS
-        return latency_ms / 1_000
+        return latency_ms / 1_000 + self.link_by_host[first].queue_s
+
+    async def connect(self, first: str, second: str, timeout_s: float) -> bool:
+        """Open a connection; return whether it was there in time."""
+        duration_s = self.latency_s(first, second)
+        duration_s += self.latency_s(second, first)
+        await anyio.sleep(min(duration_s, timeout_s))
+        return duration_s < timeout_s
 
     async def transfer(self, sender: str, size_bytes: int) -> None:
         """Wait until the link of a host has sent some bytes."""
@@ -136,6 +145,10 @@
             ReadTimeout: It did not respond in time.
         """
         timeout_s = extensions['timeout']['read']
+        queue_s = self._network.link_by_host[self._host].queue_s
+        if queue_s > extensions['timeout']['connect']:
+            await anyio.sleep(extensions['timeout']['connect'])
+            raise httpcore.ConnectTimeout
         with anyio.move_on_after(timeout_s):
             return await self._call(method, url, content)
         raise httpcore.ReadTimeout
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -19,6 +19,7 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import statements
 from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import config_push
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
@@ -90,22 +91,32 @@
             targets,
             quarantine.QuarantineTable(name, list, self.clock),
             self._build_report,
-            lambda state: self.follower.on_peer_state(state),
+            self._on_peer_state,
+            lambda data: self._push.on_datagram(data),
             self.clock,
         )
-        self.fleet._link.send = self._send  # type: ignore[method-assign]
-        self.follower = store_follower.StoreFollower(
-            store,
-            catalogs.Catalog(
-                self.routes,
-                self.targets,
-                lambda _: None,
-                lambda: None,
-                self.clock,
+        self.fleet._link.send_datagrams = (  # type: ignore[method-assign]
+            self._send_datagrams
+        )
+        catalog = catalogs.Catalog(
+            self.routes,
+            self.targets,
+            lambda config: self._push.on_config(
+                config.version, catalog.config_content
             ),
-            self.fleet,
+            lambda: None,
+            self.clock,
+        )
+        rng = random.Random(f'{name}/{self.started_s}/{fleet.seed}')
+        self._push = config_push.ConfigPush(
+            self.fleet.send_config,
+            lambda: len(self.fleet.peers.live_states()),
+            catalog.on_config_of_peer,
             self.clock,
-            random.Random(f'{name}/{self.started_s}/{fleet.seed}'),
+            rng,
+        )
+        self.follower = store_follower.StoreFollower(
+            store, catalog, self.fleet, self.clock, rng
         )
 
         self.directory = directory.DirectoryApplication(
@@ -168,21 +179,27 @@
             changed_by_table=self.follower.changed_by_table,
         )
 
-    def _send(
+    def _on_peer_state(self, state: state_link.HostState) -> None:
+        self._push.on_peer_state(state)
+        self.follower.on_peer_state(state)
+
+    def _send_datagrams(
         self,
-        state: state_link.HostState,
-        peers: collections.abc.Iterable[tuple[str, int]],
+        datagrams: collections.abc.Iterable[bytes],
+        address: tuple[str, int],
     ) -> None:
-        data = state_link.encode_state(state)
-        loop = asyncio.get_running_loop()
-        for ip, _ in peers:
-            peer = self._simulation.host_by_ip.get(ip)
-            if peer is None or self._network.is_lost(self.name, peer.name):
-                continue
-            latency_s = self._network.latency_s(self.name, peer.name)
-            loop.call_later(
-                latency_s, peer.fleet._link.datagram_received, data, (ip, 1)
-            )
+        peer = self._simulation.host_by_ip.get(address[0])
+        if peer is None:
+            return
+        latency_s = self._network.latency_s(self.name, peer.name)
+        for data in datagrams:
+            if not self._network.is_lost(self.name, peer.name):
+                asyncio.get_running_loop().call_later(
+                    latency_s,
+                    peer.fleet._link.datagram_received,
+                    data,
+                    (self.ip, 1),
+                )
 
 
 class FleetSimulation:
@@ -282,13 +299,15 @@
         if peer is None:
             raise peer_call.PeerCallError('nothing listens')
         with anyio.move_on_after(peer_call.CALL_TIMEOUT_MS / 1_000):
-            latency_s = self.network.latency_s(caller, peer.name)
             await self._pass(caller, peer.name)
-            await anyio.sleep(3 * latency_s)
+            phase_s = peer_call.PHASE_TIMEOUT_MS / 1_000
+            if not await self.network.connect(caller, peer.name, phase_s):
+                raise peer_call.PeerCallError('no connection')
+            await anyio.sleep(self.network.latency_s(caller, peer.name))
             content = await peer.respond(path)
             await self.network.transfer(peer.name, len(content))
             await self._pass(caller, peer.name)
-            await anyio.sleep(latency_s)
+            await anyio.sleep(self.network.latency_s(peer.name, caller))
             return content
         raise peer_call.PeerCallError('no answer')
 
--- a/tests/entry/test_config_convergence.py
+++ b/tests/entry/test_config_convergence.py
@@ -20,6 +20,9 @@
 REFUSED_BOUND_S = 9.0
 """The same on a host that the store does not answer."""
 
+QUEUE_S = 0.8
+"""Wait of each packet in the queue of a full link."""
+
 Simulation = fleet_simulation.FleetSimulation
 Scenario = collections.abc.Callable[
     [Simulation], collections.abc.Coroutine[typing.Any, typing.Any, None]
@@ -81,3 +84,73 @@
 
     for seed in range(3):
         run(scenario, seed)
+
+
+def test_host_that_starts_after_a_restore_follows_its_peers() -> None:
+    """Guards against CONFIG of 2026-12-06: the copy's configuration stays.
+
+    Only the memory of hosts has the newest configuration until the operator
+    writes again.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        copy = simulation.store.copy()
+        simulation.write_config()
+        await anyio.sleep(BOUND_S)
+        simulation.store.restore(copy)
+        await anyio.sleep(0.5)
+        started = [host.name for host in simulation.hosts[::7]]
+        for name in started:
+            simulation.kill(name)
+        await anyio.sleep(0.2)
+        for name in started:
+            simulation.start(name)
+        await anyio.sleep(BOUND_S)
+        assert find_late(simulation) == {}
+
+    for seed in range(3):
+        run(scenario, seed)
+
+
+def test_host_with_a_full_link_gets_configurations_in_time() -> None:
+    """Guards against CONFIG of 2026-12-06: all calls of a host time out.
+
+    What the host sends waits in the queue of its link for longer than its
+    calls may take.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        hosts = simulation.rng.sample(simulation.hosts, 3)
+        for host in hosts:
+            simulation.network.link_by_host[host.name].queue_s = QUEUE_S
+        await anyio.sleep(BOUND_S)
+        for _ in range(4):
+            simulation.write_config()
+            await anyio.sleep(BOUND_S)
+            assert find_late(simulation) == {}
+
+    for seed in range(3):
+        run(scenario, seed)
+
+
+@pytest.mark.parametrize('interval_s', [0.3, 1.0])
+def test_host_behind_catches_up_among_many_changes(interval_s: float) -> None:
+    """Guards against a host that each change leaves behind again."""
+
+    async def scenario(simulation: Simulation) -> None:
+        host = simulation.hosts[0]
+        simulation.network.link_by_host[host.name].queue_s = QUEUE_S
+        await anyio.sleep(BOUND_S)
+        acknowledged = [(simulation.now_s, simulation.config_version)]
+        while simulation.now_s < 25:
+            version = simulation.write_config()
+            acknowledged.append((simulation.now_s, version))
+            await anyio.sleep(interval_s)
+            due = [
+                version
+                for written_s, version in acknowledged
+                if written_s <= simulation.now_s - BOUND_S
+            ]
+            assert not due or host.config_version >= due[-1]
+
+    run(scenario)
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from wigeonhatch import clock as clocks
+from wigeonhatch.peers import config_parts
 from wigeonhatch.peers import roster as rosters
 from wigeonhatch.peers import state_link
 
@@ -77,12 +78,18 @@
 def test_malformed_datagrams_are_counted() -> None:
     """Guards against a malformed datagram that stops the receiver."""
     received: list[state_link.HostState] = []
-    link = state_link.StateLink(received.append)
+    parts: list[tuple[bytes, str]] = []
+    link = state_link.StateLink(
+        received.append, lambda data, ip: parts.append((data, ip))
+    )
     link.datagram_received(b'\xff\x00', ('10.0.0.9', 1))
     link.datagram_received(msgspec.msgpack.encode([1, 2]), ('10.0.0.9', 1))
     assert (link.malformed_count, received) == (2, [])
     link.datagram_received(msgspec.msgpack.encode(STATE), ('10.0.0.2', 1))
     assert received == [STATE]
+    part = config_parts.split(3, b'{}')[0]
+    link.datagram_received(part, ('10.0.0.2', 1))
+    assert (link.malformed_count, parts) == (2, [(part, '10.0.0.2')])
 
 
 def test_roster_ignores_its_own_host() -> None:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -93,7 +93,7 @@
 def test_unreadable_datagram_is_counted() -> None:
     """Guards against a datagram that raises in the event loop."""
     states: list[state_link.HostState] = []
-    link = state_link.StateLink(states.append)
+    link = state_link.StateLink(states.append, lambda data, ip: None)
     link.datagram_received(NESTED_MSGPACK[-1_400:], ('127.0.0.1', 1))
     assert (link.malformed_count, states) == (1, [])
 
--- a/wigeonhatch/entry/catalog.py
+++ b/wigeonhatch/entry/catalog.py
@@ -36,6 +36,9 @@
         on_config: Called when a new configuration is in force.
         on_targets: Called when the targets have changed.
         clock: Source of monotonic time.
+
+    Attributes:
+        config_content: Row with the configuration in force; empty for none.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         on_targets: collections.abc.Callable[[], None],
         clock: clocks.Clock,
     ) -> None:
+        self.config_content = b''
         self._routes = routes
         self._targets = targets
         self._on_config = on_config
@@ -71,10 +75,18 @@
                 continue
             self._operator_keys.add(row.key)
             if row.key == names.CONFIG_KEY:
-                self._apply_config(row)
+                self._apply_config(row.value, row.version)
         self._apply_evacuations()
         self._on_targets()
 
+    def on_config_of_peer(self, content: bytes) -> None:
+        """Apply the configuration that a peer has in force if it is newer.
+
+        Args:
+            content: Row of the operators' table that contains it.
+        """
+        self._apply_config(content, None)
+
     def on_target_snapshot(self, rows: Rows) -> None:
         """Replace the state of the targets' table."""
         records = list(
@@ -194,27 +206,29 @@
             )
         )
 
-    def _apply_config(self, row: stores.StoredRow) -> None:
+    def _apply_config(self, content: bytes, row_version: int | None) -> None:
         try:
-            config = decode.read_config(row.value)
+            config = decode.read_config(content)
         except decoding.DecodeError as error:
             _LOG.error(
                 'configuration unusable',
                 extra={
                     'event_fields': {
                         'reason': str(error),
-                        'row_version': row.version,
+                        'row_version': row_version,
                     }
                 },
             )
             return
         previous = self._routes.config
         if self._routes.configure(config):
+            self.config_content = content
             log.event(
                 _LOG,
                 'configuration in force',
                 version=config.version,
                 previous=None if previous is None else previous.version,
+                row_version=row_version,
                 routes=len(config.route_by_name),
                 services=len(config.service_by_name),
             )
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -22,6 +22,7 @@
 from wigeonhatch.balance import statements
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
+from wigeonhatch.entry import config_push
 from wigeonhatch.entry import daemon_signals
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_metrics
@@ -46,7 +47,6 @@
 from wigeonhatch.requests import quarantine
 from wigeonhatch.requests import relay as relays
 from wigeonhatch.requests import server as request_server
-from wigeonhatch.routes import config_lag
 from wigeonhatch.routes import model
 from wigeonhatch.routes import table as tables
 from wigeonhatch.targets import client as target_client
@@ -93,9 +93,8 @@
             settings.limits, self._ledger
         )
         self._metrics = collector.Metrics(clock)
-        self._config_lag = config_lag.ConfigLag(clock)
         self._config_metrics = config_metrics.ConfigMetrics(
-            self._config_lag, self._metrics.registry
+            clock, self._metrics.registry
         )
         self._store = stores.StoreClient(settings.store_address)
         self._routes = tables.RouteTable()
@@ -120,6 +119,7 @@
             self._quarantine,
             self._build_report,
             self._on_peer_state,
+            lambda data: self._config_push.on_datagram(data),
             clock,
         )
         self._fractions = region_fractions.RegionFractions(
@@ -189,6 +189,13 @@
             self._on_targets,
             clock,
         )
+        self._config_push = config_push.ConfigPush(
+            self._fleet.send_config,
+            lambda: len(self._fleet.peers.live_states()),
+            self._catalog.on_config_of_peer,
+            clock,
+            self._rng,
+        )
         self._store_follower = store_follower.StoreFollower(
             self._store, self._catalog, self._fleet, clock, self._rng
         )
@@ -221,7 +228,7 @@
         self._application, self._peer_application = (
             edges.EdgeApplication(
                 self._routes,
-                self._config_lag,
+                self._config_metrics.lag,
                 self._relay,
                 self._find_target_region,
                 self._on_finished,
@@ -331,12 +338,14 @@
             self._fractions.refresh(self._regions.fraction_by_region)
 
     def _on_peer_state(self, state: state_link.HostState) -> None:
-        self._config_lag.on_peer_version(state.report.config_version)
+        self._config_metrics.lag.on_peer_version(state.report.config_version)
+        self._config_push.on_peer_state(state)
         self._store_follower.on_peer_state(state)
 
     def _on_config(self, config: model.RoutingConfig) -> None:
-        self._config_metrics.on_change(
-            self._config_lag.on_config(config.version)
+        self._config_metrics.on_config(config.version)
+        self._config_push.on_config(
+            config.version, self._catalog.config_content
         )
         limits = config.limits
         self._protocol.limits = dataclasses.replace(
--- a/wigeonhatch/metrics/config_metrics.py
+++ b/wigeonhatch/metrics/config_metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import core
 from prometheus_client import registry as registries
 
+from wigeonhatch import clock as clocks
 from wigeonhatch.routes import config_lag
 
 _DELAY_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 6.0, 15.0, 60.0)
@@ -17,14 +18,17 @@
     """Collect the versions of the configuration, and how late changes are.
 
     Args:
-        lag: Compares this host with its peers.
+        clock: Source of monotonic time.
         registry: Registry that collects the metrics.
+
+    Attributes:
+        lag: Compares this host with its peers.
     """
 
     def __init__(
-        self, lag: config_lag.ConfigLag, registry: registries.CollectorRegistry
+        self, clock: clocks.Clock, registry: registries.CollectorRegistry
     ) -> None:
-        self._lag = lag
+        self.lag = config_lag.ConfigLag(clock)
         self._delays = prometheus_client.Histogram(
             'wigeonhatch_config_delay_seconds',
             'Time from a peer announcing a configuration until it was in '
@@ -34,28 +38,28 @@
         )
         registry.register(self)
 
-    def on_change(self, behind_ms: int) -> None:
-        """Record a change of the configuration.
+    def on_config(self, version: int) -> None:
+        """Record that a newer configuration is in force.
 
         Args:
-            behind_ms: Time for which this host was behind its peers in ms.
+            version: Its version.
         """
-        self._delays.observe(behind_ms / 1_000)
+        self._delays.observe(self.lag.on_config(version) / 1_000)
 
     def collect(self) -> collections.abc.Iterator[core.Metric]:
         """Yield the gauges; called by the Prometheus registry."""
         yield core.GaugeMetricFamily(
             'wigeonhatch_config_version',
             'Version of the configuration in force.',
-            self._lag.version,
+            self.lag.version,
         )
         yield core.GaugeMetricFamily(
             'wigeonhatch_config_newest_version',
             'Newest version in force at this host or at a peer.',
-            self._lag.newest_version,
+            self.lag.newest_version,
         )
         yield core.GaugeMetricFamily(
             'wigeonhatch_config_behind_seconds',
             'Time since a peer announced a newer configuration.',
-            self._lag.behind_ms / 1_000,
+            self.lag.behind_ms / 1_000,
         )
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -20,6 +20,7 @@
 from wigeonhatch import settings
 from wigeonhatch.balance import departures as departure_tables
 from wigeonhatch.balance import rate_limits
+from wigeonhatch.peers import config_parts
 from wigeonhatch.requests import quarantine
 
 INTERVAL_MS = 200
@@ -229,12 +230,17 @@
 
     Args:
         on_state: Called with each state that arrives.
+        on_config_part: Called with each datagram of a configuration, and the
+            address of its sender.
     """
 
     def __init__(
-        self, on_state: collections.abc.Callable[[HostState], None]
+        self,
+        on_state: collections.abc.Callable[[HostState], None],
+        on_config_part: collections.abc.Callable[[bytes, str], None],
     ) -> None:
         self._on_state = on_state
+        self._on_config_part = on_config_part
         self._transport: asyncio.DatagramTransport | None = None
         self.malformed_count = 0
 
@@ -261,6 +267,9 @@
         self, data: bytes, addr: tuple[str | typing.Any, int]
     ) -> None:
         """Decode the state of a peer; log and count malformed datagrams."""
+        if data.startswith(config_parts.MARKER):
+            self._on_config_part(data, str(addr[0]))
+            return
         try:
             state = decode_state(data)
         except decoding.DecodeError as error:
@@ -289,11 +298,24 @@
             state: State of this host.
             peers: Address and port of each peer.
         """
-        if self._transport is None:
-            return
         data = encode_state(state)
         for address in peers:
-            self._transport.sendto(data, address)
+            self.send_datagrams([data], address)
+
+    def send_datagrams(
+        self,
+        datagrams: collections.abc.Iterable[bytes],
+        address: tuple[str, int],
+    ) -> None:
+        """Send datagrams to a peer; does nothing before the socket is open.
+
+        Args:
+            datagrams: Content of each.
+            address: Address and port of the peer.
+        """
+        if self._transport is not None:
+            for data in datagrams:
+                self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Close the socket."""
