--- a/tests/balance/simulation.py
+++ b/tests/balance/simulation.py
@@ -89,6 +89,7 @@
                 fractions_by_region=self.fractions.report,
             ),
             lambda state: None,
+            lambda data: None,
             simulation.clock,
         )
         self.fractions = region_fractions.RegionFractions(
