Look for a reset after a target has ended a connection

A target that answers an upload with a 200 without a length, sends part of the body, ends its side and closes the connection with unread bytes of the upload resets it after its end. The connection stays open for up to 0.25 s if over 64 KiB of the request were sent, and a reset in that time makes the response incomplete. A response that ends without one is served as before. Responses with status 000 were refused already; two cases show it.

--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -102,6 +102,14 @@
         scripted.send_raw(b'HTTP/1.1 101 Switching\r\n\r\n'),
         CODE.TARGET_PROTOCOL,
     ),
+    'status 000': (
+        scripted.send_raw(b'HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok'),
+        CODE.TARGET_PROTOCOL,
+    ),
+    'status 000 without a length': (
+        scripted.send_raw(b'HTTP/1.1 000 X\r\n\r\nok'),
+        CODE.TARGET_PROTOCOL,
+    ),
     'hang': (scripted.hang, CODE.DEADLINE_EXCEEDED_RUNNING),
 }
 
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -24,6 +24,12 @@
 _MAX_READ_BYTES = 16 * 1024
 # A target that has responded and stopped reading will not read the rest.
 _EARLY_RESPONSE_WAIT_S = 1.0
+# A request up to this size is usually read whole before the response.
+_READ_AT_ONCE_BYTES = 64 * 1024
+# A reset follows the end of a connection within a round trip and the time in
+# which the target closes it.
+_RESET_WAIT_S = 0.25
+_RESET_POLL_S = 0.01
 
 
 class TargetStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
@@ -46,6 +52,7 @@
         self._buffered_bytes = 0
         self._is_closed = False
         self._is_reset = False
+        self._is_lost = False
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._read_waiter: asyncio.Future[bool] | None = None
@@ -83,14 +90,19 @@
         _wake(self._write_waiter)
 
     def eof_received(self) -> bool:
-        """Record that the target closed its side of the connection."""
+        """Record that the target closed its side of the connection.
+
+        Returns:
+            Whether to keep the other side open, which shows a later reset.
+        """
         self._is_closed = True
         _wake(self._read_waiter)
-        return False
+        return not self.is_idle
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection and wake up waiting tasks."""
         self._is_reset = self._is_reset or exc is not None
+        self._is_lost = True
         self._is_closed = True
         _wake(self._read_waiter)
         _wake(self._write_waiter)
@@ -137,7 +149,7 @@
                 self._read_waiter = None
         if not self._buffer:
             # A reset must not count as the end of a close-delimited response.
-            if self._is_reset:
+            if self._is_reset or await self._is_reset_soon():
                 raise httpcore.ReadError('the connection was reset')
             return b''
         data = self._buffer.popleft()
@@ -197,6 +209,24 @@
             return self._is_readable()
         return None
 
+    async def _is_reset_soon(self) -> bool:
+        """Wait for a reset after the target closed its side.
+
+        A target that closes a connection with unread bytes of a request resets
+        it, also if it ended its own side before.
+        """
+        if self.sent_bytes <= _READ_AT_ONCE_BYTES:
+            return False
+        end_s = min(self._loop.time() + _RESET_WAIT_S, self.deadline_s)
+        while not self._is_lost and self._loop.time() < end_s:
+            if any(
+                events & (select.POLLERR | select.POLLHUP)
+                for _, events in self._poller.poll(0)
+            ):
+                return True
+            await asyncio.sleep(_RESET_POLL_S)
+        return self._is_reset
+
     def _is_readable(self) -> bool:
         if self._buffer or self._is_closed or self._transport is None:
             return True
