--- a/tests/entry/fleet_network.py
+++ b/tests/entry/fleet_network.py
@@ -27,6 +27,7 @@
     Args:
         mbps: Bandwidth of what it sends, in Mbit/s.
         loss: Fraction of the datagrams that are lost.
+        sends_nothing: Whether all that it sends is lost.
         queue_s: Time in s for which its packets wait before they are sent.
         is_frozen: Whether the host neither sends nor answers.
         store_fault: What its calls to the store meet: `silent`, `busy` or
@@ -36,6 +37,7 @@
     mbps: float = 100.0
     loss: float = 0.0
     queue_s: float = 0.0
+    sends_nothing: bool = False
     is_frozen: bool = False
     store_fault: str = ''
 
@@ -76,7 +78,9 @@
         )
 
     def is_lost(self, first: str, second: str) -> bool:
-        """Decide whether a datagram is lost."""
+        """Decide whether a datagram from one host to another is lost."""
+        if self.link_by_host[first].sends_nothing:
+            return True
         loss = max(
             self.link_by_host[first].loss, self.link_by_host[second].loss
         )
@@ -96,6 +100,8 @@
         """Open a connection; return whether it was there in time."""
         duration_s = self.latency_s(first, second)
         duration_s += self.latency_s(second, first)
+        if self.link_by_host[first].sends_nothing:
+            duration_s = timeout_s
         await anyio.sleep(min(duration_s, timeout_s))
         return duration_s < timeout_s
 
@@ -145,9 +151,10 @@
             ReadTimeout: It did not respond in time.
         """
         timeout_s = extensions['timeout']['read']
-        queue_s = self._network.link_by_host[self._host].queue_s
-        if queue_s > extensions['timeout']['connect']:
-            await anyio.sleep(extensions['timeout']['connect'])
+        own = self._network.link_by_host[self._host]
+        connect_s = extensions['timeout']['connect']
+        if own.sends_nothing or own.queue_s > connect_s:
+            await anyio.sleep(connect_s)
             raise httpcore.ConnectTimeout
         with anyio.move_on_after(timeout_s):
             return await self._call(method, url, content)
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -110,7 +110,6 @@
         rng = random.Random(f'{name}/{self.started_s}/{fleet.seed}')
         self._push = config_push.ConfigPush(
             self.fleet.send_config,
-            lambda: len(self.fleet.peers.live_states()),
             catalog.on_config_of_peer,
             self.clock,
             rng,
@@ -142,6 +141,7 @@
                 self.follower.start(tasks, supervisor)
                 tasks.start_soon(self.fleet.join)
                 tasks.start_soon(self.fleet.run)
+                tasks.start_soon(self._push.run)
         assert not supervisor.errors_by_task
 
     def kill(self) -> None:
--- a/tests/entry/test_config_convergence.py
+++ b/tests/entry/test_config_convergence.py
@@ -133,6 +133,30 @@
         run(scenario, seed)
 
 
+def test_host_that_is_not_heard_gets_configurations_in_time() -> None:
+    """Guards against CONFIG of 2026-12-06: only hosts that are heard get it.
+
+    A full link loses the states of its host for seconds.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        hosts = simulation.rng.sample(simulation.hosts, 3)
+        for host in hosts:
+            link = simulation.network.link_by_host[host.name]
+            link.sends_nothing = True
+        for _ in range(3):
+            await anyio.sleep(BOUND_S)
+            simulation.write_config()
+            await anyio.sleep(BOUND_S)
+            assert find_late(simulation) == {}
+            for host in hosts:
+                link = simulation.network.link_by_host[host.name]
+                link.sends_nothing = not link.sends_nothing
+
+    for seed in range(3):
+        run(scenario, seed)
+
+
 @pytest.mark.parametrize('interval_s', [0.3, 1.0])
 def test_host_behind_catches_up_among_many_changes(interval_s: float) -> None:
     """Guards against a host that each change leaves behind again."""
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -191,7 +191,6 @@
         )
         self._config_push = config_push.ConfigPush(
             self._fleet.send_config,
-            lambda: len(self._fleet.peers.live_states()),
             self._catalog.on_config_of_peer,
             clock,
             self._rng,
@@ -225,7 +224,7 @@
             ),
             clock,
         )
-        self._application, self._peer_application = (
+        self._applications = [
             edges.EdgeApplication(
                 self._routes,
                 self._config_metrics.lag,
@@ -236,7 +235,7 @@
                 is_for_peers,
             )
             for is_for_peers in (False, True)
-        )
+        ]
 
     @property
     def is_serving(self) -> bool:
@@ -253,11 +252,12 @@
             self._metrics.expose,
             self._store_follower.read_rows,
         )
+        application, peer_application = self._applications
         servers = edge_servers.build_servers(
             settings,
             self._protocol,
-            self._application,
-            self._peer_application,
+            application,
+            peer_application,
             app,
         )
         log.event(
@@ -278,6 +278,7 @@
                 ('adjustments', self._run_adjustments),
                 ('target probes', self._reach.run),
                 ('quarantines', self._quarantine_store.run),
+                ('configurations for peers', self._config_push.run),
                 ('settings', self._reloader.run),
             ):
                 tasks.start_soon(self._supervisor.run, name, run)
@@ -289,7 +290,7 @@
                 self._relay.is_stopping = True
                 self._log_account('stopping')
                 await edge_stop.stop_gracefully(
-                    [self._application, self._peer_application],
+                    self._applications,
                     servers,
                     self._ledger,
                     self._fleet.leave,
@@ -302,10 +303,8 @@
         self._fleet.close()
 
     def _log_account(self, message: str) -> None:
-        applications = (self._application, self._peer_application)
-        stop_account.log_account(
-            message, (item.counts for item in applications), self._ledger
-        )
+        counts = (item.counts for item in self._applications)
+        stop_account.log_account(message, counts, self._ledger)
 
     def _build_report(self) -> state_link.HostReport:
         config = self._routes.config
