Send large configurations less often

2,200 routes take 47 datagrams, 65 KB; two senders every 0.3 s would fill a narrow link. A sender spends eight datagrams an interval on average.

--- a/wigeonhatch/entry/config_push.py
+++ b/wigeonhatch/entry/config_push.py
@@ -22,6 +22,9 @@
 """Interval at which a host that is behind is sent the configuration."""
 SENDERS = 2
 """Peers that send it at each interval, on average."""
+DATAGRAMS = 8
+"""Datagrams of each sender and interval, on average; a larger configuration is
+sent less often."""
 SILENCE_MS = 15_000
 """Time without a state of a host after which it is sent nothing."""
 _LOG = logging.getLogger(__name__)
@@ -123,19 +126,21 @@
                 self._send_to(host, peer)
 
     def _is_sender(self) -> bool:
-        return self._rng.random() * len(self._peer_by_host) < SENDERS
+        if not self._datagrams:
+            self._datagrams = config_parts.split(
+                self._recent[-1][1], self._content
+            )
+        senders = SENDERS * min(1.0, DATAGRAMS / max(1, len(self._datagrams)))
+        return self._rng.random() * len(self._peer_by_host) < senders
 
     def _send_to(self, host: str, peer: _Peer) -> None:
-        newest = self._recent[-1][1]
-        if not self._datagrams:
-            self._datagrams = config_parts.split(newest, self._content)
         log.event(
             _LOG,
             'configuration sent to a peer',
             peer=host,
             peer_version=peer.version,
             silent_ms=self._clock.now_ms - peer.heard_ms,
-            version=newest,
+            version=self._recent[-1][1],
             datagrams=len(self._datagrams),
         )
         ip, _ = settings.parse_address(peer.address)
