Forward few requests to hosts with slow links

A host that had lost its links to targets chose peers at random. Lookups already name such hosts to few callers, by their weight; forwarding uses the same weight. Without the change the test fails: the slow host comes first in a third of all cases.

--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 import anyio
@@ -197,6 +198,27 @@
         assert addresses == ['10.0.0.2:80']
 
 
+def test_hosts_with_slow_links_get_few_forwarded_requests() -> None:
+    """Guards against links that forwarded requests fill.
+
+    A host with a full link neither answers in time nor hears of changes.
+    """
+    harness = _FleetHarness()
+    weight_by_host = {'h2': 1.0, 'h3': 0.1, 'h4': 0.0}
+    for host, weight in weight_by_host.items():
+        harness.receive_state(host, 'a', weight=weight)
+    harness.receive_state('h5', 'b')
+    count = 1_000
+    first = collections.Counter(
+        harness.fleet.selector.find_forwarding_peers(frozenset())[0].host
+        for _ in range(count)
+    )
+    assert set(first) <= {'h2', 'h3'}
+    assert 0.05 * count < first['h3'] < 0.15 * count
+    peers = harness.fleet.selector.find_forwarding_peers(frozenset())
+    assert [peer.host for peer in peers][2:] == ['h4', 'h5']
+
+
 def test_lookup_in_a_large_region_returns_what_callers_accept() -> None:
     """Guards against lookups that fail since they name too many hosts."""
     harness = _FleetHarness()
--- a/wigeonhatch/entry/host_selector.py
+++ b/wigeonhatch/entry/host_selector.py
@@ -18,6 +18,8 @@
 
 MAX_ADDRESSES = 64
 """Addresses that callers accept in a lookup."""
+MIN_WEIGHT = 1e-6
+"""Weight of a host that gets requests only if no other host is there."""
 
 
 class HostSelector:
@@ -72,12 +74,17 @@
             allowed_regions: Regions that may receive it; empty for all.
 
         Returns:
-            Serving peers that reach the targets, in random order; those of
-            this host's region come first.
+            Serving peers that reach the targets; those of this host's region
+            come first. The order is random, with a probability to come next in
+            proportion to the weight of the host.
         """
         own = self._settings
         found = [
-            (state.region != own.region, self._rng.random(), state)
+            (
+                state.region != own.region,
+                self._rng.expovariate(max(state.report.weight, MIN_WEIGHT)),
+                state,
+            )
             for state in self._peers.live_states()
             if state.report.is_serving
             and state.report.reaches_targets
