Send rows of tables to hosts that are behind, as configurations are

Evacuations and departures took the same way as configurations: a host whose calls fail never heard of them. What the hosts announce of each table, the newest change, is compared in the same way, and the missing rows are sent. Rows that a host takes without having asked may overtake the response of a call, and their sender may believe that the host holds more than it does: a row that is older than what the table has is not applied, and rows that leave a gap are not taken. Both tests fail without their part. The test with evacuations and departures on hosts with a full link fails without the rows.

--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -19,10 +19,10 @@
 from wigeonhatch.balance import loads
 from wigeonhatch.balance import statements
 from wigeonhatch.entry import catalog as catalogs
-from wigeonhatch.entry import config_push
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_settings
 from wigeonhatch.entry import fleet as fleets
+from wigeonhatch.entry import state_topics
 from wigeonhatch.entry import store_follower
 from wigeonhatch.peers import peer_call
 from wigeonhatch.peers import state_link
@@ -101,22 +101,17 @@
         catalog = catalogs.Catalog(
             self.routes,
             self.targets,
-            lambda config: self._push.on_config(
-                config.version, catalog.config_content
-            ),
+            lambda _: None,
             lambda: None,
             self.clock,
         )
         rng = random.Random(f'{name}/{self.started_s}/{fleet.seed}')
-        self._push = config_push.ConfigPush(
-            self.fleet.send_config,
-            catalog.on_config_of_peer,
-            self.clock,
-            rng,
-        )
         self.follower = store_follower.StoreFollower(
             store, catalog, self.fleet, self.clock, rng
         )
+        self._push = state_topics.build_push(
+            self.routes, catalog, self.follower, self.fleet, self.clock, rng
+        )
 
         self.directory = directory.DirectoryApplication(
             lambda: True,
@@ -246,9 +241,11 @@
     def write_targets(self) -> None:
         """Write the rows of all targets."""
         for number in range(self._targets):
-            self.store.put(
-                names.TARGET_TABLE, f't{number}', test_decode.TARGET
-            )
+            self.write_target(f't{number}')
+
+    def write_target(self, name: str) -> None:
+        """Write the row of a target in the domain `a`."""
+        self.store.put(names.TARGET_TABLE, name, test_decode.TARGET)
 
     def write_config(self, version: int | None = None) -> int:
         """Write a configuration.
--- a/tests/entry/test_config_convergence.py
+++ b/tests/entry/test_convergence.py
@@ -1,4 +1,4 @@
-"""Tests of the time until a configuration is in force on all hosts."""
+"""Tests of the time until changes are in force on all hosts."""
 
 from __future__ import annotations
 
@@ -20,6 +20,8 @@
 REFUSED_BOUND_S = 9.0
 """The same on a host that the store does not answer."""
 
+DEPARTURE_BOUND_S = 3.0
+"""Time after which a target that has left gets no requests."""
 QUEUE_S = 0.8
 """Wait of each packet in the queue of a full link."""
 
@@ -157,6 +159,40 @@
         run(scenario, seed)
 
 
+@pytest.mark.parametrize('is_heard', [True, False])
+def test_host_with_a_full_link_follows_evacuations_and_targets(
+    is_heard: bool,
+) -> None:
+    """Guards against requests to targets that have left, or are evacuated.
+
+    They take the same way as configurations.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        hosts = simulation.rng.sample(simulation.hosts, 3)
+        for host in hosts:
+            link = simulation.network.link_by_host[host.name]
+            link.queue_s = QUEUE_S
+            link.sends_nothing = not is_heard
+        await anyio.sleep(BOUND_S)
+        for _ in range(2 if is_heard else 1):
+            simulation.store.put('op', 'evacuate/a', {})
+            simulation.store.remove('servers', 't1')
+            await anyio.sleep(DEPARTURE_BOUND_S)
+            for host in simulation.hosts:
+                assert 't1' not in host.targets.record_by_name
+                assert host.targets.usable('s') == ()
+            simulation.store.remove('op', 'evacuate/a')
+            simulation.write_target('t1')
+            await anyio.sleep(DEPARTURE_BOUND_S)
+            for host in simulation.hosts:
+                assert 't1' in host.targets.record_by_name
+                assert len(host.targets.usable('s')) == TARGETS
+
+    for seed in range(2):
+        run(scenario, seed)
+
+
 @pytest.mark.parametrize('interval_s', [0.3, 1.0])
 def test_host_behind_catches_up_among_many_changes(interval_s: float) -> None:
     """Guards against a host that each change leaves behind again."""
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -53,7 +53,7 @@
         self.reaches_store = True
         self.reaches_targets = True
         self.peer_changes: list[dict[str, int]] = []
-        self.config_datagrams: list[bytes] = []
+        self.parts: list[bytes] = []
         self.clock = clocks.ManualClock()
         self.loads = loads.LoadTable(self.clock)
         self.targets = registry.TargetRegistry(self.clock)
@@ -72,7 +72,7 @@
             lambda state: self.peer_changes.append(
                 state.report.changed_by_table
             ),
-            self.config_datagrams.append,
+            self.parts.append,
             self.clock,
         )
 
--- a/tests/entry/test_row_cache.py
+++ b/tests/entry/test_row_cache.py
@@ -65,6 +65,18 @@
     assert cache.change_version == 15
 
 
+def test_late_response_does_not_undo_newer_rows() -> None:
+    """Guards against a call whose response arrives after rows of a peer."""
+    cache = row_cache.RowCache()
+    cache.replace([row('a', 3), row('b', 4)], 10)
+    newer = [row('a', 13), row('b', 14, True)]
+    assert cache.apply_changes(newer, 14) == newer
+    late = [row('a', 11), row('b', 12), row('c', 15)]
+    assert cache.apply_changes(late, 15) == [row('c', 15)]
+    assert cache.select_after(9, 0).rows == (row('a', 13), row('c', 15))
+    assert cache.version == 15
+
+
 def test_unread_table_is_not_shared() -> None:
     """Guards against a peer that accepts an unread table as an empty one."""
     with pytest.raises(ValueError):
--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/test_table_follower.py
@@ -119,6 +119,37 @@
     anyio.run(scenario)
 
 
+def test_rows_that_leave_a_gap_are_not_taken() -> None:
+    """Guards against a version above a row that was never applied.
+
+    A peer sends what changed since the last state that it heard. The host may
+    hold less: it has started again, from a copy or a peer that is behind.
+    """
+
+    async def scenario() -> None:
+        harness = follower_harness.FollowerHarness()
+        harness.store.rows.put('op', 'a', {})
+        await harness.run_for()
+        follower = harness.follower
+        version = follower.cache.version
+        assert version is not None
+        rows = (stores.StoredRow('c', b'{}', version + 2),)
+        delta = row_share.SharedRows(rows, version + 2, False, 0)
+        follower.on_rows_of_peer(row_share.SentRows(version + 1, delta))
+        assert follower.cache.version == version
+        assert harness.changes == []
+        follower.on_rows_of_peer(row_share.SentRows(version, delta))
+        assert follower.cache.version == version + 2
+        assert harness.changes == [('c', False)]
+        follower.on_rows_of_peer(row_share.SentRows(version, delta))
+        assert harness.changes == [('c', False)]
+        whole = row_share.SharedRows(rows, version + 3, True, 0)
+        follower.on_rows_of_peer(row_share.SentRows(version + 9, whole))
+        assert harness.snapshots[-1] == ['c']
+
+    anyio.run(scenario)
+
+
 def test_only_readers_follow_the_store() -> None:
     """Guards against store calls that grow with the number of hosts."""
 
--- a/tests/peers/test_state_link.py
+++ b/tests/peers/test_state_link.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from wigeonhatch import clock as clocks
-from wigeonhatch.peers import config_parts
 from wigeonhatch.peers import roster as rosters
 from wigeonhatch.peers import state_link
+from wigeonhatch.peers import state_parts
 
 STATE = state_link.HostState(
     'h2',
@@ -87,7 +87,7 @@
     assert (link.malformed_count, received) == (2, [])
     link.datagram_received(msgspec.msgpack.encode(STATE), ('10.0.0.2', 1))
     assert received == [STATE]
-    part = config_parts.split(3, b'{}')[0]
+    part = state_parts.split('config', 3, b'{}')[0]
     link.datagram_received(part, ('10.0.0.2', 1))
     assert (link.malformed_count, parts) == (2, [(part, '10.0.0.2')])
 
--- a/wigeonhatch/entry/edge_daemon.py
+++ b/wigeonhatch/entry/edge_daemon.py
@@ -22,7 +22,6 @@
 from wigeonhatch.balance import statements
 from wigeonhatch.balance import warmup
 from wigeonhatch.entry import catalog as catalogs
-from wigeonhatch.entry import config_push
 from wigeonhatch.entry import daemon_signals
 from wigeonhatch.entry import directory
 from wigeonhatch.entry import edge_metrics
@@ -34,6 +33,7 @@
 from wigeonhatch.entry import quarantine_store
 from wigeonhatch.entry import retry_share
 from wigeonhatch.entry import settings_reload
+from wigeonhatch.entry import state_topics
 from wigeonhatch.entry import stop_account
 from wigeonhatch.entry import store_follower
 from wigeonhatch.metrics import collector
@@ -119,7 +119,7 @@
             self._quarantine,
             self._build_report,
             self._on_peer_state,
-            lambda data: self._config_push.on_datagram(data),
+            lambda data: self._state_push.on_datagram(data),
             clock,
         )
         self._fractions = region_fractions.RegionFractions(
@@ -189,15 +189,17 @@
             self._on_targets,
             clock,
         )
-        self._config_push = config_push.ConfigPush(
-            self._fleet.send_config,
-            self._catalog.on_config_of_peer,
-            clock,
-            self._rng,
-        )
         self._store_follower = store_follower.StoreFollower(
             self._store, self._catalog, self._fleet, clock, self._rng
         )
+        self._state_push = state_topics.build_push(
+            self._routes,
+            self._catalog,
+            self._store_follower,
+            self._fleet,
+            clock,
+            self._rng,
+        )
         self._relay = relays.Relay(
             self._picker,
             self._loads,
@@ -278,7 +280,7 @@
                 ('adjustments', self._run_adjustments),
                 ('target probes', self._reach.run),
                 ('quarantines', self._quarantine_store.run),
-                ('configurations for peers', self._config_push.run),
+                ('states for peers', self._state_push.run),
                 ('settings', self._reloader.run),
             ):
                 tasks.start_soon(self._supervisor.run, name, run)
@@ -338,14 +340,11 @@
 
     def _on_peer_state(self, state: state_link.HostState) -> None:
         self._config_metrics.lag.on_peer_version(state.report.config_version)
-        self._config_push.on_peer_state(state)
+        self._state_push.on_peer_state(state)
         self._store_follower.on_peer_state(state)
 
     def _on_config(self, config: model.RoutingConfig) -> None:
         self._config_metrics.on_config(config.version)
-        self._config_push.on_config(
-            config.version, self._catalog.config_content
-        )
         limits = config.limits
         self._protocol.limits = dataclasses.replace(
             self._settings.limits,
--- a/wigeonhatch/entry/fleet.py
+++ b/wigeonhatch/entry/fleet.py
@@ -51,8 +51,7 @@
         quarantine: Requests that crash targets.
         report: Returns the status that this host reports about itself.
         on_peer_state: Called with each new state of a peer.
-        on_config_datagram: Called with each datagram of a configuration that
-            a known host has sent.
+        on_part: Called with each part of a state that a known host sends.
         clock: Clock of the host.
     """
 
@@ -65,7 +64,7 @@
         quarantine: quarantines.QuarantineTable,
         report: collections.abc.Callable[[], state_link.HostReport],
         on_peer_state: collections.abc.Callable[[state_link.HostState], None],
-        on_config_datagram: collections.abc.Callable[[bytes], None],
+        on_part: collections.abc.Callable[[bytes], None],
         clock: clocks.Clock,
     ) -> None:
         self.peers = state_link.PeerTable(clock)
@@ -85,7 +84,7 @@
         quarantine.on_change = self._send_early
         self._report = report
         self._on_peer_state = on_peer_state
-        self._on_config_datagram = on_config_datagram
+        self._on_part = on_part
         self._clock = clock
         self._incarnation = clock.wall_ms
         self._sequence = 0
@@ -93,7 +92,9 @@
         self._sent_early_ms = -_MIN_EXTRA_INTERVAL_MS
         self._incarnation_by_host: dict[str, int] = {}
         self._is_leaving = False
-        self._link = state_link.StateLink(self._on_state, self._on_config_part)
+        self._link = state_link.StateLink(
+            self._on_state, self._on_part_datagram
+        )
         self.selector = host_selector.HostSelector(
             settings,
             self.peers,
@@ -281,10 +282,10 @@
             self._quarantine.report_again()
         self._on_peer_state(state)
 
-    def send_config(
+    def send_datagrams(
         self, ip: str, datagrams: collections.abc.Iterable[bytes]
     ) -> None:
-        """Send the parts of a configuration to a host.
+        """Send the parts of a state to a host.
 
         Args:
             ip: Address of the host.
@@ -292,9 +293,9 @@
         """
         self._link.send_datagrams(datagrams, (ip, self._settings.peer_port))
 
-    def _on_config_part(self, data: bytes, ip: str) -> None:
+    def _on_part_datagram(self, data: bytes, ip: str) -> None:
         if ip in self.roster.ip_by_host.values():
-            self._on_config_datagram(data)
+            self._on_part(data)
 
     def _send_early(self) -> None:
         """Send a datagram to all peers without waiting for its turn."""
--- a/wigeonhatch/entry/row_cache.py
+++ b/wigeonhatch/entry/row_cache.py
@@ -44,13 +44,18 @@
         self._history_start = version
         self._update_versions(rows, version)
 
-    def apply_changes(self, rows: Rows, version: int) -> None:
+    def apply_changes(self, rows: Rows, version: int) -> Rows:
         """Apply changed and deleted rows, in order.
 
         Args:
             rows: The rows; empty if nothing changed.
             version: Store version after the changes.
+
+        Returns:
+            The rows that were not applied before.
         """
+        held = self.version or 0
+        rows = [row for row in rows if row.version > held]
         for row in rows:
             if row.is_deleted:
                 self._row_by_key.pop(row.key, None)
@@ -60,6 +65,7 @@
         while len(self._changes) > MAX_CHANGES:
             self._history_start = self._changes.popleft().version
         self._update_versions(rows, version)
+        return rows
 
     def select_after(
         self, after: int, grace_left_ms: int
--- a/wigeonhatch/entry/store_follower.py
+++ b/wigeonhatch/entry/store_follower.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from wigeonhatch import clock as clocks
+from wigeonhatch import decoding
 from wigeonhatch import supervision
 from wigeonhatch.entry import catalog as catalogs
 from wigeonhatch.entry import fleet as fleets
@@ -118,6 +119,19 @@
             return None
         return follower.cache.select_after(after, self._catalog.grace_left_ms)
 
+    def on_rows_of_peer(self, table: str, content: bytes) -> None:
+        """Apply rows that a peer has sent.
+
+        Args:
+            table: Name of the table.
+            content: Encoded `row_share.SentRows`.
+
+        Raises:
+            DecodeError: The content is malformed.
+        """
+        rows = decoding.decode_msgpack(content, row_share.SentRows)
+        self._follower_by_table[table].on_rows_of_peer(rows)
+
     def on_peer_state(self, state: state_link.HostState) -> None:
         """Compare the table versions of a peer with those of this host."""
         for table, version in state.report.changed_by_table.items():
--- a/wigeonhatch/entry/table_follower.py
+++ b/wigeonhatch/entry/table_follower.py
@@ -137,6 +137,18 @@
         since_ms = self._followed_since_ms
         return 0 if since_ms is None else self._clock.now_ms - since_ms
 
+    def on_rows_of_peer(self, sent: row_share.SentRows) -> None:
+        """Apply rows that a peer has sent, if they are newer and complete.
+
+        Args:
+            sent: Rows that this host lacked by what it had announced.
+        """
+        version = self.cache.version
+        if version is None or sent.shared.version <= version:
+            return
+        if sent.shared.is_whole or sent.after <= version:
+            self._take_over(sent.shared)
+
     def on_peer_version(self, change_version: int) -> None:
         """Fetch changes at once if a peer has newer ones.
 
@@ -254,12 +266,16 @@
         )
         if update is None or update.version <= (cache.version or 0):
             return False
+        self._take_over(update)
+        return True
+
+    def _take_over(self, update: row_share.SharedRows) -> None:
         log.event(
             _LOG,
             'rows of a peer taken over',
             table=self._table,
             version=update.version,
-            previous=cache.version,
+            previous=self.cache.version,
             rows=len(update.rows),
             whole=update.is_whole,
         )
@@ -269,7 +285,6 @@
             self._apply_snapshot(update.rows, update.version)
         else:
             self._apply_changes(update.rows, update.version)
-        return True
 
     def _apply_snapshot(self, rows: Rows, version: int) -> None:
         era = store_version.era_of(version)
@@ -280,7 +295,8 @@
         self._on_snapshot(rows)
 
     def _apply_changes(self, rows: Rows, version: int) -> None:
-        self.cache.apply_changes(rows, version)
+        # Rows that a peer has sent may precede the response of a call.
+        rows = self.cache.apply_changes(rows, version)
         if rows:
             self._on_changes(rows)
 
--- a/wigeonhatch/peers/row_share.py
+++ b/wigeonhatch/peers/row_share.py
@@ -41,6 +41,19 @@
     grace_left_ms: int
 
 
+class SentRows(msgspec.Struct, frozen=True, array_like=True):
+    """Rows that a host sends to a peer that has not requested them.
+
+    Args:
+        after: Store version that the peer has announced; it may hold less if
+            it has started again since.
+        shared: What changed after it.
+    """
+
+    after: int
+    shared: SharedRows
+
+
 ReadRows = collections.abc.Callable[[str, int], SharedRows | None]
 """Returns the rows of a table that changed after a store version; None if the
 host has not read the table."""
--- a/wigeonhatch/peers/state_link.py
+++ b/wigeonhatch/peers/state_link.py
@@ -20,7 +20,7 @@
 from wigeonhatch import settings
 from wigeonhatch.balance import departures as departure_tables
 from wigeonhatch.balance import rate_limits
-from wigeonhatch.peers import config_parts
+from wigeonhatch.peers import state_parts
 from wigeonhatch.requests import quarantine
 
 INTERVAL_MS = 200
@@ -230,17 +230,17 @@
 
     Args:
         on_state: Called with each state that arrives.
-        on_config_part: Called with each datagram of a configuration, and the
-            address of its sender.
+        on_part: Called with each part of a larger message, and the address of
+            its sender.
     """
 
     def __init__(
         self,
         on_state: collections.abc.Callable[[HostState], None],
-        on_config_part: collections.abc.Callable[[bytes, str], None],
+        on_part: collections.abc.Callable[[bytes, str], None],
     ) -> None:
         self._on_state = on_state
-        self._on_config_part = on_config_part
+        self._on_part = on_part
         self._transport: asyncio.DatagramTransport | None = None
         self.malformed_count = 0
 
@@ -267,8 +267,8 @@
         self, data: bytes, addr: tuple[str | typing.Any, int]
     ) -> None:
         """Decode the state of a peer; log and count malformed datagrams."""
-        if data.startswith(config_parts.MARKER):
-            self._on_config_part(data, str(addr[0]))
+        if data.startswith(state_parts.MARKER):
+            self._on_part(data, str(addr[0]))
             return
         try:
             state = decode_state(data)
