--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,8 +39,8 @@
                     'host': 'shop.example',
                     'prefix': '/photo/',
                     'type': 'upload',
-                    'timeout': '5000ms',
-                    'target_latency': '800ms',
+                    'timeout': '1500ms',
+                    'target_latency': '250ms',
                     'priority': 1,
                     'service': 'album',
                     'max_attempts': 2,
@@ -51,11 +51,11 @@
             'services': {
                 'album': {
                     'health_path': '/health',
-                    'max_conns': 390,
+                    'max_conns': 330,
                     'protocol': 'h1',
                     'tls': False,
                     'warmup': '3s',
-                    'warmup_per_s': 5.0,
+                    'warmup_per_s': 9.0,
                 }
             },
             'limits': {
@@ -221,7 +221,7 @@
     try:
         writer.write(
             f'POST /photo/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            f'Request-Id: {request_id}\r\nDeadline-Ms: 5000\r\n'
+            f'Request-Id: {request_id}\r\nDeadline-Ms: 1500\r\n'
             f'Affinity-Key: {request_id}\r\n'
             f'Content-Length: {UPLOAD_BYTES}\r\n\r\n'.encode()
             + b'x' * UPLOAD_BYTES
@@ -245,7 +245,7 @@
     async def upload(request_id: str, host: stand.Host) -> None:
         fleet.record.write(f'sent {request_id} to {host.name}')
         try:
-            async with asyncio.timeout(5):
+            async with asyncio.timeout(1.5):
                 answer = await read_answer(host.address, request_id)
         except (OSError, TimeoutError):
             answer = None
@@ -266,7 +266,7 @@
                 f'i-{number}',
                 'album',
                 list(ZONES)[number % 2],
-                6,
+                3,
                 0.1,
                 fleet.store,
                 fleet.record,
