--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,9 +20,11 @@
 UPLOAD_BYTES = 50_000
 ANSWER_BYTES = 6_000
 READ_BYTES = 16_384
-PER_S = 25.0
-RUN_S = 24.0
-GARBLED_EVERY = 25
+PER_S = 40.0
+RUN_S = 15.0
+GARBLED_FROM_S = 5.0
+GARBLED_S = 5.0
+GARBLED_EVERY = 20
 DELAY_S = 0.035
 CHUNK_BYTES = 16_384
 CHUNK_S = 0.01
@@ -143,8 +145,9 @@
     """Instance whose answers have no length and end with the connection."""
 
     is_garbling = False
+    garbled_until_s = 0.0
+    answered_meanwhile = 0
     garbled: set[str] = set()
-    served = 0
 
     async def start(
         self, warmup_s: float = 0.0, link: Link | None = None
@@ -179,8 +182,10 @@
         )
         request_id = fields['request-id']
         self._record.write(f'arrival {request_id} at {self.name}')
-        self.served += 1
-        is_garbled = self.is_garbling and self.served % GARBLED_EVERY == 0
+        is_garbled = False
+        if self.is_garbling and stand.now_s() < self.garbled_until_s:
+            AlbumInstance.answered_meanwhile += 1
+            is_garbled = self.answered_meanwhile % GARBLED_EVERY == 0
         length = int(fields['content-length'])
         if not is_garbled:
             await reader.readexactly(length)
@@ -261,7 +266,7 @@
 
     try:
         write_config(fleet.store)
-        for number in range(4):
+        for number in range(8):
             instance = AlbumInstance(
                 f'i-{number}',
                 'album',
@@ -272,13 +277,15 @@
                 fleet.record,
             )
             # A share of 0.5.
-            instance.is_garbling = is_troubled and number < 2
+            instance.is_garbling = is_troubled and number < 4
             link = Link(fleet.record)
             links.append(link)
             await instance.start(link=link)
             fleet.instances.append(instance)
         await fleet.start()
         for number in range(int(RUN_S * PER_S)):
+            if number == int(GARBLED_FROM_S * PER_S):
+                AlbumInstance.garbled_until_s = stand.now_s() + GARBLED_S
             host = fleet.hosts[number % len(fleet.hosts)]
             task = asyncio.ensure_future(upload(f'u{number}', host))
             running.add(task)
--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -229,6 +229,7 @@
         self.cold_until_s = 0.0
         self.arrivals: list[tuple[float, bool, str]] = []
         self.ran = 0
+        self.run_ids: set[str] = set()
         self.shed = 0
         self._born = int(time.time() * 1_000)
         self._sequence = 0
@@ -354,6 +355,7 @@
         await self._free.acquire()
         self._waiting -= 1
         self._running += 1
+        self.run_ids.add(request_id)
         try:
             await asyncio.sleep(self.work_s * (2 if self.is_cold else 1))
         finally:
@@ -387,15 +389,22 @@
         await writer.drain()
 
 
-def most_in_a_second(times: list[float]) -> int:
-    """Return the most of some moments that lie within one second."""
-    times = sorted(times)
-    most = start = 0
-    for end, moment in enumerate(times):
-        while moment - times[start] >= 1.0:
-            start += 1
-        most = max(most, end - start + 1)
-    return most
+def most_in_a_second(times: list[tuple[float, float]]) -> int:
+    """Return the most requests that were sent and arrived within one second.
+
+    Args:
+        times: When each was sent by its client, and when it arrived.
+    """
+    return max(
+        (
+            sum(
+                end - 1.0 < sent_s and arrived_s <= end
+                for sent_s, arrived_s in times
+            )
+            for _, end in times
+        ),
+        default=0,
+    )
 
 
 class _Datagrams(asyncio.DatagramProtocol):
