Count a request at its target until the response has ended

Cause: a host counted a request as in progress, and measured its duration, until it was done with the response.

Change: the target's response calls back at its end, and `TargetWork` then ends the count and the duration. Failures end them as before.

Result: the new test failed before (the request was still counted); the tests of the relay pass.

--- a/tests/requests/relay_rig.py
+++ b/tests/requests/relay_rig.py
@@ -37,6 +37,7 @@
     ) -> None:
         self.status = status
         self.headers = ((b'request-id', request_id), *headers)
+        self.on_received: collections.abc.Callable[[], None] | None = None
         self._chunks = list(chunks)
 
     async def read(self) -> bytes | outcome.Failure | None:
--- a/tests/requests/test_relay.py
+++ b/tests/requests/test_relay.py
@@ -6,6 +6,7 @@
 
 from tests.requests import relay_rig as rigs
 from wigeonhatch import codes
+from wigeonhatch import outcome
 from wigeonhatch.requests import relay_model
 from wigeonhatch.routes import model
 
@@ -168,3 +169,27 @@
     assert isinstance(rig.run(), relay_model.Response)
     targets = rig.scene.targets.record_by_name
     assert rig.scene.limits.rate_per_s(targets[rig.client.targets[0]]) is None
+
+
+def test_target_is_free_once_it_has_ended_its_response() -> None:
+    """Guards against slots that are full while an end is confirmed."""
+    rig = rigs.Rig()
+    counts: list[dict[str, int]] = []
+
+    class Unconfirmed(rigs.Response):
+        """Response whose end is confirmed later."""
+
+        async def read(self) -> bytes | outcome.Failure | None:
+            chunk = await super().read()
+            if chunk is None:
+                rig.scene.clock.advance(100)
+                assert self.on_received is not None
+                self.on_received()
+                counts.append(rig.scene.loads.own_counts())
+                rig.scene.clock.advance(250)
+            return chunk
+
+    rig.client.steps.append(Unconfirmed)
+    assert isinstance(rig.run(), relay_model.Response)
+    assert counts == [{}]
+    assert rig.scene.loads.duration_ms('board', True) == 100.0
--- a/wigeonhatch/requests/_exchange.py
+++ b/wigeonhatch/requests/_exchange.py
@@ -25,6 +25,7 @@
     target: str,
     now_ms: int,
     on_response_head: collections.abc.Callable[[messages.TargetFields], None],
+    on_received: collections.abc.Callable[[], None],
     buffered: response_buffer.BufferedBytes,
 ) -> relay_model.Response | outcome.Failure:
     """Send a request to a target and buffer its complete response.
@@ -36,6 +37,7 @@
         target: Name of the target.
         now_ms: Monotonic time in ms.
         on_response_head: Receives the fields of the response head.
+        on_received: Called when the target has ended its response.
         buffered: Bytes in the buffers of the host.
 
     Returns:
@@ -57,6 +59,7 @@
     if isinstance(send_result, outcome.Failure):
         return send_result
     response = send_result.value
+    response.on_received = on_received
     target_fields = messages.read_target_fields(
         response.headers, response.status
     )
--- a/wigeonhatch/requests/relay.py
+++ b/wigeonhatch/requests/relay.py
@@ -24,6 +24,7 @@
 from wigeonhatch.requests import _query
 from wigeonhatch.requests import _refusals
 from wigeonhatch.requests import _target_health
+from wigeonhatch.requests import _target_work
 from wigeonhatch.requests import body as bodies
 from wigeonhatch.requests import model
 from wigeonhatch.requests import peer_forwarder as peer_forwarders
@@ -275,8 +276,7 @@
             # The target may just be closing connections that were idle.
             self._client.close_idle(name)
         load = self._loads.in_progress(name)
-        started_ms = self._clock.now_ms
-        self._loads.start(name)
+        work = _target_work.TargetWork(self._loads, name, self._clock)
         self._ejections.on_start(name)
         self._quarantine.on_start(history.fingerprint)
         history.target_fields = None
@@ -292,23 +292,23 @@
                     request,
                     body,
                     name,
-                    started_ms,
+                    work.started_ms,
                     functools.partial(
                         self._on_response_head, request, target, history
                     ),
+                    work.end,
                     self._buffered,
                 )
             cause = control.leave()
         except BaseException as error:
             _attempt_log.log_interrupted(
-                request, target, self._clock.now_ms - started_ms, error
+                request, target, work.elapsed_ms, error
             )
             raise
         finally:
             timer.stop()
-            self._loads.finish(name)
+            work.end()
             self._quarantine.on_end(history.fingerprint)
-        elapsed_ms = self._clock.now_ms - started_ms
         if result is None:
             result = outcome.Failure(
                 cause or codes.ResultCode.TARGET_TIMEOUT,
@@ -320,7 +320,7 @@
             pick,
             result,
             load,
-            elapsed_ms,
+            work.elapsed_ms,
             history.pause_ms,
         )
         if history.pause_ms:
@@ -331,7 +331,7 @@
             pick,
             self._picker.region_of(target.domain),
             result,
-            _attempt_log.AttemptTimes(started_ms, elapsed_ms),
+            _attempt_log.AttemptTimes(work.started_ms, work.elapsed_ms),
             load,
             is_cold,
         )
--- a/wigeonhatch/targets/response.py
+++ b/wigeonhatch/targets/response.py
@@ -27,7 +27,9 @@
     Args:
         status: HTTP status.
         headers: Header fields for the caller, names in lower case.
-        length: Length of the body in bytes; None if it is chunked.
+        length: Length of the body in bytes; None if it is not declared.
+
+    `on_received` is called when the target has ended its response.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self.headers = headers
         self.length = length
         self.is_complete = False
+        self.on_received: collections.abc.Callable[[], None] | None = None
         self._is_marked_not_run = is_marked_not_run
         self._stream = stream
         self._chunks = stream.__aiter__()
@@ -122,6 +125,8 @@
     async def _finish(self) -> outcome.Failure | None:
         if self.length is not None and self._received_bytes != self.length:
             return self._fail(f'{self._received_bytes} of {self.length} bytes')
+        if self.on_received is not None:
+            self.on_received()
         await self._stream.aclose()
         self._is_ended = True
         self.is_complete = True
