Confirm the end of responses to uploads that have no length

Cause: the end of a connection counted as that of the response although the target might not have received the request. A target that closes before the rest of an upload arrives ends the connection first and resets it when the rest arrives. The reset was awaited only if over 64 KiB had been sent, in the belief that a target reads less at once; over a link it does not. And once the end had arrived, no further piece of the request was sent, so that slow uploads of any size got no reset at all.

Change: a request is sent to its end although its target has responded and ended its side, as that brings the reset; without any response nothing more is sent, as before. The end of a response without a length to a request with a body is confirmed: no reset within 0.25 s after the later of the end and the last byte, unless the request was sent so long before that it must have arrived. A request that could not be sent to its end makes such a response incomplete. If the deadline passes meanwhile, it is a timeout. The check has moved from every end of a connection to these responses, so that a target that closes without a response, or before its declared length, is reported without the wait.

Why it works: a reset needs a byte that arrives at a closed connection, or one that was left unread. All bytes are sent now, and the time covers a round trip. Requests without a body wait for nothing.

Related paths: the hop between hosts and `entry` accept no response without a length; uploads of unknown length, and uploads above 1 MiB that are passed on while they arrive, use the same stream. A target that responds, ends its side and reads on was cut off as well and gets the whole request now.

--- a/tests/end_to_end/edge_deployment.py
+++ b/tests/end_to_end/edge_deployment.py
@@ -123,13 +123,18 @@
 class Deployment:
     """Store, targets and one edge daemon."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        build_target: collections.abc.Callable[[str, int], Target] = Target,
+    ) -> None:
         ports = find_free_ports(9)
+        self.peer_port = ports[6]
         self.store_port, self.port, self.ready_port, self.lookup_port = ports[
             :4
         ]
         self.targets = {
-            name: Target(name, port)
+            name: build_target(name, port)
             for name, port in zip(('t1', 't2'), ports[4:6])
         }
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -147,7 +152,7 @@
                     'readiness_address': address(self.ready_port),
                     'directory_address': address(self.lookup_port),
                     'peer_address': address(ports[8]),
-                    'peer_port': ports[6],
+                    'peer_port': self.peer_port,
                     'metrics_port': ports[7],
                     'store_address': address(self.store_port),
                     'bounds': {
@@ -264,11 +269,15 @@
 ]
 
 
-def run_scenario(folder: pathlib.Path, scenario: Scenario) -> None:
+def run_scenario(
+    folder: pathlib.Path,
+    scenario: Scenario,
+    build_target: collections.abc.Callable[[str, int], Target] = Target,
+) -> None:
     """Run a scenario against a new deployment."""
 
     async def main() -> None:
-        deployment = Deployment(folder)
+        deployment = Deployment(folder, build_target)
         try:
             async with anyio.create_task_group() as tasks:
                 for target in deployment.targets.values():
--- a/tests/requests/test_peer_forwarder.py
+++ b/tests/requests/test_peer_forwarder.py
@@ -47,6 +47,13 @@
 
 
 SERVED = decide(CODE.OK, RAN.RAN)
+SERVED_WITHOUT_LENGTH = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n'
+    b'%b: %b\r\n\r\nwhol'
+    % forward_fields.encode_decision(
+        forward_fields.Decision(CODE.OK, RAN.RAN, 0)
+    )
+)
 
 
 class _Scene:
@@ -177,13 +184,14 @@
         scripted.respond(b'x', 200),
         scripted.respond(b'x', 200, headers=b'Wigeonhatch-Decision: 0\r\n'),
         scripted.send_raw(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1'),
+        scripted.send_raw(SERVED_WITHOUT_LENGTH),
     ],
 )
 @scripted.run_on_uvloop
 async def test_peer_that_may_have_run_a_request_is_the_last(
     script: scripted.Script,
 ) -> None:
-    """Guards against a second run after a peer was lost."""
+    """Guards against a second run, and a part that counts as whole."""
     async with _scene(script, SERVED) as scene:
         result = await scene.forward()
         assert isinstance(result, relay_model.Refusal)
--- a/wigeonhatch/targets/_pool.py
+++ b/wigeonhatch/targets/_pool.py
@@ -66,14 +66,29 @@
         stream = self._backend.stream
         return 0 if stream is None else stream.sent_bytes
 
-    def prepare(self, deadline_s: float) -> None:
-        """Set the deadline of the next request."""
+    def prepare(self, deadline_s: float, has_body: bool) -> None:
+        """Prepare the connection for the next request.
+
+        Args:
+            deadline_s: Event loop time in s at which every wait times out.
+            has_body: Whether the request has a body.
+        """
         self._backend.deadline_s = deadline_s
+        self._backend.has_body = has_body
+        stream = self._backend.stream
+        if stream is not None:
+            stream.start_request(deadline_s, has_body)
+
+    async def confirm_end(self) -> None:
+        """Wait until no reset can follow the end of the connection.
+
+        Raises:
+            httpcore.ReadError: The target has not received the whole request.
+            httpcore.ReadTimeout: The deadline has passed.
+        """
         stream = self._backend.stream
         if stream is not None:
-            stream.deadline_s = deadline_s
-            stream.sent_bytes = 0
-            stream.is_idle = False
+            await stream.confirm_end()
 
     def set_idle(self, now_ms: int) -> None:
         """Record that no request uses the connection.
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -16,6 +16,7 @@
 import httpcore
 
 from wigeonhatch import sockets
+from wigeonhatch.targets import _reset_window
 
 _HIGH_WATER_BYTES = 256 * 1024
 _LOW_WATER_BYTES = 64 * 1024
@@ -24,11 +25,6 @@
 _MAX_READ_BYTES = 16 * 1024
 # A target that has responded and stopped reading will not read the rest.
 _EARLY_RESPONSE_WAIT_S = 1.0
-# A request up to this size is usually read whole before the response.
-_READ_AT_ONCE_BYTES = 64 * 1024
-# A reset follows the end of a connection within a round trip and the time in
-# which the target closes it.
-_RESET_WAIT_S = 0.25
 _RESET_POLL_S = 0.01
 
 
@@ -45,12 +41,19 @@
         self.deadline_s = float('inf')
         # Whether no request uses the connection.
         self.is_idle = False
+        # Whether the current request has a body.
+        self.has_body = False
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._poller = select.poll()
         self._buffer: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
-        self._is_closed = False
+        # Whether no more bytes will be received.
+        self._is_ended = False
+        self._ended_s = 0.0
+        self._sent_s = 0.0
+        # Whether a part of the current request was not sent.
+        self._is_request_cut = False
         self._is_reset = False
         self._is_lost = False
         self._is_reading_paused = False
@@ -66,6 +69,19 @@
             connection.setsockopt(level, option, value)
         self._poller.register(connection.fileno(), select.POLLIN)
 
+    def start_request(self, deadline_s: float, has_body: bool) -> None:
+        """Prepare the connection for the next request.
+
+        Args:
+            deadline_s: Event loop time in s at which every wait times out.
+            has_body: Whether the request has a body.
+        """
+        self.deadline_s = deadline_s
+        self.has_body = has_body
+        self.sent_bytes = 0
+        self.is_idle = False
+        self._is_request_cut = False
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pause reading if there are too many.
 
@@ -73,7 +89,7 @@
         may have no end, so that the connection is closed.
         """
         if self.is_idle and self._transport is not None:
-            self._is_closed = True
+            self._is_ended = True
             self._transport.abort()
             return
         self._buffer.append(data)
@@ -95,7 +111,8 @@
         Returns:
             Whether to keep the other side open, which shows a later reset.
         """
-        self._is_closed = True
+        self._is_ended = True
+        self._ended_s = self._loop.time()
         _wake(self._read_waiter)
         return not self.is_idle
 
@@ -103,7 +120,7 @@
         """Record the end of the connection and wake up waiting tasks."""
         self._is_reset = self._is_reset or exc is not None
         self._is_lost = True
-        self._is_closed = True
+        self._is_ended = True
         _wake(self._read_waiter)
         _wake(self._write_waiter)
 
@@ -140,7 +157,7 @@
         # waits are otherwise what enforces the deadline.
         if self._loop.time() >= self.deadline_s:
             raise httpcore.ReadTimeout('the deadline has passed')
-        if not self._buffer and not self._is_closed:
+        if not self._buffer and not self._is_ended:
             self._read_waiter = self._loop.create_future()
             try:
                 if not await self._wait(self._read_waiter, timeout):
@@ -148,8 +165,7 @@
             finally:
                 self._read_waiter = None
         if not self._buffer:
-            # A reset must not count as the end of a close-delimited response.
-            if self._is_reset or await self._is_reset_soon():
+            if self._is_reset:
                 raise httpcore.ReadError('the connection was reset')
             return b''
         data = self._buffer.popleft()
@@ -160,26 +176,37 @@
         self._buffered_bytes -= len(data)
         if self._is_reading_paused and self._buffered_bytes < _LOW_WATER_BYTES:
             self._is_reading_paused = False
-            if self._transport is not None and not self._is_closed:
+            if self._transport is not None and not self._is_ended:
                 self._transport.resume_reading()
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes and wait while the transport's buffer is full.
 
+        A request is sent to its end after a target has responded and ended
+        its side: the target may still read, and if it does not, the rest makes
+        it reset the connection.
+
         Args:
             buffer: Bytes to send.
             timeout: Longest wait in s; None to wait until the deadline.
+
+        Raises:
+            httpcore.WriteError: The connection was lost, or the target has
+                responded and does not read.
+            httpcore.WriteTimeout: The target does not read.
         """
         if not buffer:
             return
         transport = self._transport
-        if transport is None or self._is_closed or transport.is_closing():
+        is_ended = self._is_ended and not self._buffer
+        if transport is None or is_ended or transport.is_closing():
+            self._is_request_cut = True
             raise httpcore.WriteError('the target closed the connection')
         # Counted before the write, after which the target may receive them.
         self.sent_bytes += len(buffer)
         transport.write(buffer)
-        while self._is_writing_paused and not self._is_closed:
+        while self._is_writing_paused and not self._is_lost:
             self._write_waiter = self._loop.create_future()
             wait_s = timeout
             if self._buffer:
@@ -189,13 +216,49 @@
             finally:
                 self._write_waiter = None
             if not is_woken and self._buffer:
+                self._is_request_cut = True
                 raise httpcore.WriteError('the target responded early')
             if not is_woken:
                 raise httpcore.WriteTimeout('the target does not read')
+        self._sent_s = self._loop.time()
+
+    async def confirm_end(self) -> None:
+        """Wait until no reset can follow the end of the connection.
+
+        A target that closes a connection before it has read the whole request
+        resets it, which may arrive after the end.
+
+        Raises:
+            httpcore.ReadError: The connection was reset, or the request could
+                not be sent to its end.
+            httpcore.ReadTimeout: The deadline has passed.
+        """
+        if not self.has_body:
+            return
+        if self._is_request_cut:
+            raise httpcore.ReadError('the request was not sent to its end')
+        unsent_since_s = self._loop.time()
+        while True:
+            # The reset is looked for after the time, so that one that arrived
+            # while the process was suspended is found.
+            now_s = self._loop.time()
+            if self._is_lost or self._has_reset():
+                raise httpcore.ReadError('the connection was reset')
+            if self._has_unsent_bytes():
+                self._sent_s = now_s
+                if now_s >= unsent_since_s + _EARLY_RESPONSE_WAIT_S:
+                    raise httpcore.ReadError('the target does not read')
+            elif now_s >= _reset_window.compute_end(
+                self._ended_s, self._sent_s, self.sent_bytes
+            ):
+                return
+            if now_s >= self.deadline_s:
+                raise httpcore.ReadTimeout('the deadline has passed')
+            await asyncio.sleep(_RESET_POLL_S)
 
     async def aclose(self) -> None:
         """Close the connection without sending buffered bytes."""
-        self._is_closed = True
+        self._is_ended = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -209,26 +272,21 @@
             return self._is_readable()
         return None
 
-    async def _is_reset_soon(self) -> bool:
-        """Wait for a reset after the target closed its side.
+    def _has_reset(self) -> bool:
+        """Tell whether a reset has arrived that was not processed yet."""
+        return any(
+            events & (select.POLLERR | select.POLLHUP)
+            for _, events in self._poller.poll(0)
+        )
 
-        A target that closes a connection with unread bytes of a request resets
-        it, also if it ended its own side before.
-        """
-        if self.sent_bytes <= _READ_AT_ONCE_BYTES:
-            return False
-        end_s = min(self._loop.time() + _RESET_WAIT_S, self.deadline_s)
-        while not self._is_lost and self._loop.time() < end_s:
-            if any(
-                events & (select.POLLERR | select.POLLHUP)
-                for _, events in self._poller.poll(0)
-            ):
-                return True
-            await asyncio.sleep(_RESET_POLL_S)
-        return self._is_reset
+    def _has_unsent_bytes(self) -> bool:
+        return bool(
+            self._transport is not None
+            and self._transport.get_write_buffer_size()
+        )
 
     def _is_readable(self) -> bool:
-        if self._buffer or self._is_closed or self._transport is None:
+        if self._buffer or self._is_ended or self._transport is None:
             return True
         if self._transport.is_closing():
             return True
@@ -287,6 +345,7 @@
 
     def __init__(self) -> None:
         self.deadline_s = float('inf')
+        self.has_body = False
         self.stream: TargetStream | None = None
 
     async def connect_tcp(
@@ -320,6 +379,6 @@
             raise httpcore.ConnectTimeout('no answer') from error
         except OSError as error:
             raise httpcore.ConnectError(str(error)) from error
-        stream.deadline_s = self.deadline_s
+        stream.start_request(self.deadline_s, self.has_body)
         self.stream = stream
         return stream
--- a/wigeonhatch/targets/client.py
+++ b/wigeonhatch/targets/client.py
@@ -190,7 +190,7 @@
             )
         loop_time = asyncio.get_running_loop().time
         deadline_s = loop_time() + remaining_ms / 1_000 + _ROUNDING_S
-        connection.prepare(deadline_s)
+        connection.prepare(deadline_s, head.body_length != 0)
 
         def is_expired() -> bool:
             return loop_time() >= deadline_s - _TIMER_TOLERANCE_S
@@ -218,7 +218,11 @@
         connection.update_idle_timeout(response.headers)
         timeouts['read'] = responses.STALL_TIMEOUT_MS / 1_000
         return await responses.accept_response(
-            head, response, on_end, is_expired, self._accepts_close_delimited
+            head,
+            response,
+            on_end,
+            is_expired,
+            connection.confirm_end if self._accepts_close_delimited else None,
         )
 
     async def _acquire(self, pool: _pool.Pool) -> _pool.Connection | None:
--- a/wigeonhatch/targets/response.py
+++ b/wigeonhatch/targets/response.py
@@ -20,6 +20,11 @@
 """Longest wait for a body that nobody needs, to reuse the connection."""
 _BODYLESS_STATUSES = frozenset({204, 304})
 
+ConfirmEnd = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+"""Raises an error of httpcore if a response may be incomplete."""
+
 
 class TargetResponse:
     """Response of a target whose body has not been read yet.
@@ -28,8 +33,11 @@
         status: HTTP status.
         headers: Header fields for the caller, names in lower case.
         length: Length of the body in bytes; None if it is not declared.
+        confirm_end: Raises an error unless the end of the connection is that
+            of the body; None if the body has an end of its own.
 
-    `on_received` is called when the target has ended its response.
+    `on_received` is called when the target has ended its response, which may
+    be before the end is confirmed.
     """
 
     def __init__(
@@ -41,6 +49,7 @@
         stream: typing.Any,
         on_end: collections.abc.Callable[[bool], None],
         is_expired: collections.abc.Callable[[], bool],
+        confirm_end: ConfirmEnd | None,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -54,6 +63,7 @@
         self._is_ended = False
         self._on_end = on_end
         self._is_expired = is_expired
+        self._confirm_end = confirm_end
 
     @property
     def is_shed(self) -> bool:
@@ -127,6 +137,8 @@
             return self._fail(f'{self._received_bytes} of {self.length} bytes')
         if self.on_received is not None:
             self.on_received()
+        if self._confirm_end is not None:
+            await self._confirm_end()
         await self._stream.aclose()
         self._is_ended = True
         self.is_complete = True
@@ -144,7 +156,7 @@
     response: httpcore.Response,
     on_end: collections.abc.Callable[[bool], None],
     is_expired: collections.abc.Callable[[], bool],
-    accepts_close_delimited: bool,
+    confirm_end: ConfirmEnd | None,
 ) -> outcome.Success[TargetResponse] | outcome.Failure:
     """Check the head of a response.
 
@@ -153,8 +165,8 @@
         response: Response whose body has not been read yet.
         on_end: Called once with whether the connection may be reused.
         is_expired: Tells whether the deadline of the request has passed.
-        accepts_close_delimited: Whether the end of the connection may
-            delimit the body.
+        confirm_end: Raises an error unless the end of the connection is that
+            of a complete body; None if it may not delimit one.
     """
     length: int | None = None
     is_chunked = False
@@ -176,7 +188,7 @@
     is_close_delimited = length is None and not is_chunked
     is_malformed = not is_bodyless and (
         (length is not None and is_chunked)
-        or (is_close_delimited and not accepts_close_delimited)
+        or (is_close_delimited and confirm_end is None)
     )
     accepted = TargetResponse(
         response.status,
@@ -186,6 +198,7 @@
         response.stream,
         on_end,
         is_expired,
+        confirm_end if is_close_delimited and not is_bodyless else None,
     )
     if is_malformed or not 200 <= response.status < 600:
         # Without a declared length, a truncated response looks complete.
