Stop sending to a target that has ended without a response

Cause: an upload that waited for room in the buffers was not woken when the target ended its side of the connection, and the flag that would have ended the wait was read only on the next wake-up. Found while the end of responses was read again.

Change: the end wakes the writer, which goes on only if the target may still respond, or has responded.

--- a/tests/targets/test_cut_response.py
+++ b/tests/targets/test_cut_response.py
@@ -253,6 +253,25 @@
     assert_incomplete(await upload(answer, size, True))
 
 
+@scripted.run_on_uvloop
+async def test_upload_ends_with_a_connection_that_brought_no_response() -> (
+    None
+):
+    """Guards against an upload that waits for a target that has ended."""
+
+    async def end(connection: socket.socket, _: int) -> None:
+        # By then, the buffers are full.
+        await asyncio.sleep(0.3)
+        connection.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(3.0)
+        connection.close()
+
+    result = await upload(end, 64 * 1_048_576, True, within_ms=2_000)
+    assert isinstance(result, outcome.Failure)
+    assert result.code is codes.ResultCode.TARGET_LOST
+    assert result.ran is not codes.Ran.NOT_RUN
+
+
 @scripted.run_on_uvloop
 async def test_early_response_with_a_length_is_served_after_a_reset() -> None:
     """Guards against the loss of an early refusal as the upload goes on."""
--- a/wigeonhatch/targets/_stream.py
+++ b/wigeonhatch/targets/_stream.py
@@ -114,6 +114,7 @@
         self._is_ended = True
         self._ended_s = self._loop.time()
         _wake(self._read_waiter)
+        _wake(self._write_waiter)
         return not self.is_idle
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -199,14 +200,13 @@
         if not buffer:
             return
         transport = self._transport
-        is_ended = self._is_ended and not self._buffer
-        if transport is None or is_ended or transport.is_closing():
+        if transport is None or not self._may_send() or transport.is_closing():
             self._is_request_cut = True
             raise httpcore.WriteError('the target closed the connection')
         # Counted before the write, after which the target may receive them.
         self.sent_bytes += len(buffer)
         transport.write(buffer)
-        while self._is_writing_paused and not self._is_lost:
+        while self._is_writing_paused and self._may_send():
             self._write_waiter = self._loop.create_future()
             wait_s = timeout
             if self._buffer:
@@ -279,6 +279,11 @@
             for _, events in self._poller.poll(0)
         )
 
+    def _may_send(self) -> bool:
+        """Tell whether the target may still read and respond."""
+        has_response = bool(self._buffer)
+        return not self._is_lost and (has_response or not self._is_ended)
+
     def _has_unsent_bytes(self) -> bool:
         return bool(
             self._transport is not None
