Name both sides of the slow link of the tests

Cause: the reader and the writer towards the target were called back and other, and nothing said why both sides are reset after a pause.

Change: names and a comment; no behaviour.

--- a/tests/targets/slow_link.py
+++ b/tests/targets/slow_link.py
@@ -50,23 +50,26 @@
         writers = [writer]
         tasks: list[asyncio.Task[None]] = []
         try:
-            back, other = await asyncio.open_connection(*self._upstream)
-            writers.append(other)
+            upstream_reader, upstream_writer = await asyncio.open_connection(
+                *self._upstream
+            )
+            writers.append(upstream_writer)
             tasks = [
                 asyncio.ensure_future(coroutine)
                 for coroutine in (
-                    self._pass_on(reader, other),
-                    self._pass_on(back, writer),
+                    self._pass_on(reader, upstream_writer),
+                    self._pass_on(upstream_reader, writer),
                     _wait_for_reset(writer),
-                    _wait_for_reset(other),
+                    _wait_for_reset(upstream_writer),
                 )
             ]
-            passed = asyncio.gather(*tasks[:2])
+            both_ends = asyncio.gather(*tasks[:2])
             await asyncio.wait(
-                {passed, *tasks[2:]}, return_when=asyncio.FIRST_COMPLETED
+                {both_ends, *tasks[2:]}, return_when=asyncio.FIRST_COMPLETED
             )
-            if passed.done() and passed.exception() is None:
+            if both_ends.done() and both_ends.exception() is None:
                 return
+            # One side was reset: the other one is, once that has travelled.
             await asyncio.sleep(self._delay_s)
             for item in writers:
                 item.get_extra_info('socket').setsockopt(
