End the cases of the third review cleanly when they cannot run

Cause: a daemon that did not start ended a script with the status of a broken rule, and a run that took too long left its daemons.

Change: the stand-ins return 2 in these cases; review/14 opens another connection if the answer to its upload ends the first one.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -122,4 +122,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    sys.exit(stand.run(main))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -47,11 +47,18 @@
         upload_id, next_id = f'{name}-up{number}', f'{name}-next{number}'
         head = make_head(upload_id, '/gone81/2f', len(BODY))
         writer.write(head + BODY[:FIRST_BYTES])
-        start, _, _ = await stand.read_message(reader)
+        start, fields, _ = await stand.read_message(reader)
         record.line(f'{upload_id} answered {start}')
+        rest = BODY[FIRST_BYTES:]
+        if fields.get('connection', '').lower() == 'close':
+            writer.close()
+            reader, writer = connection = await asyncio.open_connection(
+                *address
+            )
+            rest = b''
         head = make_head(next_id, '/xapu221/2f', 7) + b'confirm'
         cut = HEAD_BYTES if HAS_TROUBLE else len(head)
-        writer.write(BODY[FIRST_BYTES:] + head[:cut])
+        writer.write(rest + head[:cut])
         if head[cut:]:
             await asyncio.sleep(DELAY_S)
             writer.write(head[cut:])
@@ -111,4 +118,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    sys.exit(stand.run(main))
--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -39,6 +40,15 @@
     return ports
 
 
+def run(main):
+    """Run a case; return its exit status, 2 if it couldn't run."""
+    try:
+        return asyncio.run(main())
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 class Record:
     """Lines of `record.txt`, with the time since the start."""
 
