--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -220,7 +220,7 @@
     """Instance of a service; a restart keeps its id and its address.
 
     It reports to the store at its start and each heartbeat, as long as the
-    store accepts the call. While it is cold it says so in its row and in its
+    store accepts the call; its entry changes when more than `sequence` does. While it is cold it says so in its row and in its
     health responses.
     """
 
@@ -242,6 +242,7 @@
         self._record = record
         self._store = store
         self._sequence = 0
+        self._reported = None  # entry but for its `sequence`
         self._born_ms = 0
         self._queue_limit = 3 * slots
         self._running = 0
@@ -261,6 +262,7 @@
         self._slots = asyncio.Semaphore(self.slots)
         self._running = self._waiting = 0
         self._sequence = 0
+        self._reported = None
         self._born_ms = time.time_ns() // 1_000_000
         self.cold_until_s = time.monotonic() + (
             self.warmup_s if is_cold else 0
@@ -312,7 +314,11 @@
                 self._record.line(f'{self.name} cannot report')
                 await asyncio.sleep(0.25)
                 continue
-            self._store.put('servers', self.name, self.row())
+            row = self.row()
+            key = {**row, 'status': {**row['status'], 'sequence': 0}}
+            if key != self._reported:
+                self._store.put('servers', self.name, row)
+                self._reported = key
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
